--- /dev/null
+++ b/cmd/wirehost/host.go
@@ -0,0 +1,108 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"time"
+
+	"pipitring/decide"
+	"pipitring/internal/wire"
+)
+
+// instance is one proxy's module and what is needed to read its reports.
+type instance struct {
+	ctl    *decide.Controller
+	fields []string
+}
+
+// host keeps the instances of this process; they share only the numbered tables of the wire.
+type host struct {
+	instances map[uint32]*instance
+	tables    map[uint16][]wire.Entry
+}
+
+func newHost() *host {
+	return &host{instances: map[uint32]*instance{}, tables: map[uint16][]wire.Entry{}}
+}
+
+// step reads one batch and writes its reply; done is set at the end of input.
+func (h *host) step(r io.Reader, w *bufio.Writer) (done bool, err error) {
+	b, err := wire.ReadBatch(r)
+	if err == io.EOF {
+		return true, nil
+	}
+	if err != nil {
+		return false, err
+	}
+	actions, err := h.batch(b)
+	if err != nil {
+		return false, err
+	}
+	reply, err := wire.AppendReply(nil, actions)
+	if err != nil {
+		return false, fmt.Errorf("reply: %w", err)
+	}
+	if _, err := w.Write(reply); err != nil {
+		return false, fmt.Errorf("reply: %w", err)
+	}
+	if err := w.Flush(); err != nil {
+		return false, fmt.Errorf("reply: %w", err)
+	}
+	return false, nil
+}
+
+// batch feeds the events in order and gathers the actions.
+func (h *host) batch(b wire.Batch) ([]wire.Action, error) {
+	var out []wire.Action
+	now := wire.Seconds(b.Clock)
+	for i := range b.Events {
+		e := &b.Events[i]
+		switch e.Op {
+		case wire.OpTable:
+			h.tables[e.Buffer] = e.Elements
+		case wire.OpShutdown:
+			delete(h.instances, e.Proxy)
+			out = without(out, e.Proxy)
+		case wire.OpHello:
+			setup, err := wire.ParseSettings(e.Blob)
+			if err != nil {
+				return nil, fmt.Errorf("record %d: proxy %d: %w", i, e.Proxy, err)
+			}
+			h.instances[e.Proxy] = &instance{decide.New(setup.Settings, e.Entropy), setup.Fields}
+		default:
+			if in := h.instances[e.Proxy]; in != nil {
+				out = h.feed(in, now, e, out)
+			}
+		}
+	}
+	return out, nil
+}
+
+// feed hands one event to its instance; a panic there becomes a Panic action and ends the instance.
+func (h *host) feed(in *instance, now time.Duration, e *wire.Event, out []wire.Action) (res []wire.Action) {
+	defer func() {
+		if p := recover(); p != nil {
+			delete(h.instances, e.Proxy)
+			res = append(out, wire.Action{Op: wire.OpPanic, Proxy: e.Proxy, Blob: fmt.Appendf(nil, "%v", p)})
+		}
+	}()
+	ev := toEvent(e, in.fields, h.tables)
+	if ev == nil {
+		return out
+	}
+	for _, a := range in.ctl.Feed(now, ev) {
+		out = append(out, toAction(e.Proxy, a))
+	}
+	return out
+}
+
+func without(actions []wire.Action, proxy uint32) []wire.Action {
+	kept := actions[:0]
+	for _, a := range actions {
+		if a.Proxy != proxy {
+			kept = append(kept, a)
+		}
+	}
+	return kept
+}
--- /dev/null
+++ b/cmd/wirehost/translate.go
@@ -0,0 +1,127 @@
+package main
+
+import (
+	"time"
+
+	"pipitring/decide"
+	"pipitring/internal/wire"
+)
+
+func exchangeID(a wire.Addr) decide.ExchangeID {
+	var id uint64
+	for _, b := range a {
+		id = id<<8 | uint64(b)
+	}
+	return decide.ExchangeID(id)
+}
+
+func addr(id decide.ExchangeID) wire.Addr {
+	var a wire.Addr
+	for i := range a {
+		a[len(a)-1-i] = byte(id >> (8 * i))
+	}
+	return a
+}
+
+// toEvent puts a wire event in the module's terms; nil is one that it has no use for.
+func toEvent(e *wire.Event, fields []string, tables map[uint16][]wire.Entry) decide.Event {
+	call := decide.CallID(e.ID)
+	switch e.Op {
+	case wire.OpResult:
+		cause, wait := toCause(e.Cause)
+		return decide.Ended{Call: call, Attempt: int(e.Attempt), Exchange: exchangeID(e.Switch),
+			Outcome: toOutcome(e.How), Cause: cause, Wait: wait, Took: wire.Seconds(e.Duration),
+			Concluded: e.Ended != 0, Report: wire.Report(e.Stats, fields)}
+	case wire.OpStreaming:
+		return decide.Standing{Call: call, Attempt: int(e.Attempt), Exchange: exchangeID(e.Switch),
+			Took: wire.Seconds(e.Duration)}
+	case wire.OpDatagram:
+		return decide.PeerMessage{From: int(e.Sender), Data: e.Blob}
+	case wire.OpDue:
+		return decide.TimerDue{Token: e.Cookie}
+	case wire.OpClientLeft:
+		return decide.CallerLeft{Call: call}
+	case wire.OpProbeResult:
+		return decide.Reported{Exchange: exchangeID(e.Switch), Outcome: toOutcome(e.How),
+			Took: wire.Seconds(e.Duration), Report: wire.Report(e.Stats, fields)}
+	case wire.OpSync:
+		return toList(e, tables)
+	case wire.OpSubmit:
+		return decide.Offer{Call: call, Class: int(e.Priority), Tenant: int(e.Party), Number: e.RouteKey,
+			Patience: wire.Seconds(e.Grace), Dest: wire.Whole(float64(e.Dest)),
+			Width: wire.Whole(float64(e.Units)), Advised: wire.Whole(float64(e.Through)),
+			Transit: e.Attrs&wire.AttrTransit != 0, Redial: e.Attrs&wire.AttrRedial != 0,
+			WasCut: e.Attrs&wire.AttrWasCut != 0}
+	}
+	return nil
+}
+
+func toList(e *wire.Event, tables map[uint16][]wire.Entry) decide.Event {
+	kind := decide.ListKind(e.Scope)
+	if kind >= decide.ListFailed {
+		return decide.List{Kind: decide.ListFailed}
+	}
+	l := decide.List{Kind: kind}
+	for _, t := range tables[e.Buffer] {
+		l.Entries = append(l.Entries, decide.Entry{Exchange: exchangeID(t.Switch), Number: int(t.Point),
+			Zone: int(t.Hall), Phase: decide.Phase(t.Phase), Started: wire.Seconds(t.ReadyAt)})
+	}
+	return l
+}
+
+// toOutcome keeps the wire's numbering, which is the module's.
+func toOutcome(how uint16) decide.Outcome {
+	if how > 255 {
+		return 0
+	}
+	return decide.Outcome(how)
+}
+
+// toCause splits a cause into its kind and the wait that a full processor asked for.
+func toCause(c uint32) (decide.Cause, time.Duration) {
+	if c == 18 {
+		return decide.TurnedBackFull, 0
+	}
+	wait := time.Duration(c/16) * time.Millisecond
+	switch c % 16 {
+	case 1:
+		return decide.NoCircuit, 0
+	case 2:
+		return decide.TurnedBack, 0
+	case 3:
+		return decide.ProcessorFull, wait
+	case 4:
+		return decide.LinesBusy, 0
+	}
+	return decide.CauseUnknown, 0
+}
+
+// toAction puts one of the module's actions on the wire.
+func toAction(proxy uint32, a decide.Action) wire.Action {
+	out := wire.Action{Proxy: proxy}
+	switch a := a.(type) {
+	case decide.SetUp:
+		out.Op, out.ID, out.Switch = wire.OpPlace, uint32(a.Call), addr(a.Exchange)
+		out.TryFor = a.Timeout.Seconds()
+	case decide.Refuse:
+		out.Op, out.ID, out.CoolDown = wire.OpShed, uint32(a.Call), a.StayAway.Seconds()
+	case decide.Fail:
+		out.Op, out.ID = wire.OpEndFailed, uint32(a.Call)
+	case decide.Cancel:
+		out.Op, out.ID, out.Attempt = wire.OpDropAttempt, uint32(a.Call), uint16(a.Attempt)
+	case decide.Timer:
+		out.Op, out.SleepFor, out.Cookie = wire.OpSleep, a.After.Seconds(), a.Token
+	case decide.Probe:
+		out.Op, out.Switch = wire.OpTest, addr(a.Exchange)
+	case decide.Tell:
+		out.Op, out.Dst, out.Blob = wire.OpWritePeer, uint32(a.To), a.Data
+		if a.To < 0 {
+			out.Dst = wire.AllPeers
+		}
+	case decide.Subscribe:
+		out.Op, out.Active = wire.OpStreamChanges, 1
+	case decide.Note:
+		out.Op, out.Blob = wire.OpJournalLine, []byte(a.Text)
+	}
+	return out
+}
--- /dev/null
+++ b/decide/decide.go
@@ -0,0 +1,933 @@
+// The interface of this module is decide/api.go; all decisions are here.
+//
+// Order: constants, state, the events, the ordinary path (bands, direct, tandems), transit, waiting calls,
+// then the guards (list, cold start, pressure, repeats), and small helpers last.
+
+package decide
+
+import (
+	"math"
+	"math/bits"
+	"slices"
+	"time"
+)
+
+const (
+	popularityHalfLife = 30 * time.Second // the design's decay of calls offered by class
+	roundingOctaves    = 0.03             // told holds are rounded: 2% either way is the same ratio
+	maxTandems         = 2                // tandems tried for one call, as in the design
+
+	reserveRoot = 0.35 // transit floor, in square roots of a group's circuits, over one widest call
+	tandemWait  = 0.55 // time-out of a tandem attempt, in aims: leaves room for another route
+	turnedFor   = time.Second
+	// A tandem that turned a call back for want of room is passed over for that exchange this long.
+
+	holdShare  = 0.85                  // a held call is sent by this share of its aim, or refused
+	lastAnswer = 40 * time.Millisecond // no answer is left until later than this before the caller gives up
+	tick       = 20 * time.Millisecond // waiting calls are looked at this often, if nothing else happens
+
+	pressedShare = 0.3             // a processor that adds this share of an aim to a set-up is pressed
+	pressEvery   = time.Second     // a gate narrows once in this time: the news of one jam come in a bunch
+	narrowBy     = 0.7             // on slow answers and 'full'
+	shutBy       = 0.4             // on silence
+	widenBy      = 1.25            // on each good answer
+	trialRate    = 0.4             // set-ups a second that a gate always lets through, to see when it is over
+	openAt       = 2.0             // a gate this many times wider than the usual rate binds no more
+	gateDepth    = 2.0             // set-ups saved up at a gate
+	sightFor     = 3 * time.Second // an own latency sample counts this long
+	rateHalfLife = 15 * time.Second
+
+	worthySlack = 1.0 // set-ups that calls of the worthier half may take ahead of a gate's rate
+)
+
+// Timer tokens.
+const (
+	tokenTick uint64 = iota
+	tokenAsk
+)
+
+// Controller decides for one proxy. It is not safe for concurrent use.
+type Controller struct {
+	s      Settings
+	now    time.Duration
+	rng    uint64
+	out    []Action
+	calls  map[CallID]*call
+	listed map[ExchangeID]*exchange
+	far    map[int]*neighbour // by number; kept when a processor is replaced
+	order  []*neighbour       // by number, rising: the order of every walk
+
+	band    []int // of each class
+	bands   int
+	widest  int
+	minAim  time.Duration
+	meanVal float64
+
+	waiting []*call // held calls: worthier first, then older
+	ticking bool
+	asks    int // failed asks for the list in a row
+	own     gate
+	tenants []bucket
+}
+
+// exchange is one processor on the list.
+type exchange struct {
+	id      ExchangeID
+	number  int
+	zone    int
+	phase   Phase
+	started time.Duration
+}
+
+// neighbour is another exchange, and our group of circuits to it.
+type neighbour struct {
+	number     int
+	cur        *exchange // the processor to send to, nil if none is listed
+	free, size float64   // circuits of the group; Unknown until told
+	used       []float64 // our calls' circuits, by band
+	offered    []float64 // decayed count of calls offered, by class
+	offeredAt  time.Duration
+	sent       []*call // set-ups out, oldest first
+	gate       gate
+	latency    time.Duration // of the last set-up that stood
+	sampledAt  time.Duration
+	turned     map[int]time.Duration // as a tandem: exchanges it turned calls to back, until when
+}
+
+// call is a call that this proxy was offered.
+type call struct {
+	id       CallID
+	class    int
+	width    int
+	dest     int
+	number   uint64
+	transit  bool
+	worth    float64
+	arrived  time.Duration
+	aimAt    time.Duration
+	deadline time.Duration
+	attempts int
+	direct   bool         // the direct route was tried
+	tandems  []*neighbour // tried
+	to       *neighbour   // of the attempt that is out or stands
+	via      *exchange
+	isTandem bool
+	inBand   []float64 // circuits it holds in each band of to's group
+	sentAt   time.Duration
+	after    time.Duration // not sent again before this
+	closed   bool          // no answer is owed
+	standing bool
+	held     bool
+	ranAt    *exchange // where it may have run first, nil if nowhere
+	ranSent  time.Duration
+}
+
+// bucket is a budget that fills with time.
+type bucket struct {
+	level float64
+	at    time.Duration
+}
+
+// New returns the controller of one instance; seed feeds its random choices.
+func New(s Settings, seed uint64) *Controller {
+	c := &Controller{s: s, rng: seed, calls: map[CallID]*call{}, listed: map[ExchangeID]*exchange{},
+		far: map[int]*neighbour{}, tenants: make([]bucket, len(s.Tenants)), minAim: math.MaxInt64}
+	c.band, c.bands = holdBands(s.Classes)
+	for i := range s.Classes {
+		c.widest = max(c.widest, s.Classes[i].Width)
+		c.minAim = min(c.minAim, s.Classes[i].Aim)
+		c.meanVal += s.Classes[i].Worth / float64(len(s.Classes))
+	}
+	return c
+}
+
+// Feed tells the controller one event and returns what it wants done now, in order.
+func (c *Controller) Feed(now time.Duration, ev Event) []Action {
+	c.now, c.out = max(c.now, now), nil
+	switch e := ev.(type) {
+	case List:
+		c.onList(e)
+	case Offer:
+		c.onOffer(e)
+	case Standing:
+		c.onStanding(e)
+	case Ended:
+		c.onEnded(e)
+	case CallerLeft:
+		if k := c.calls[e.Call]; k != nil {
+			c.close(k)
+		}
+	case Reported:
+		c.onReport(e)
+	case TimerDue:
+		c.onTimer(e.Token)
+	}
+	return c.out
+}
+
+func (c *Controller) onOffer(e Offer) {
+	if c.calls[e.Call] != nil {
+		return
+	}
+	class := e.Class
+	if class < 0 || class >= len(c.s.Classes) {
+		class = 0
+	}
+	cl := &c.s.Classes[class]
+	k := &call{id: e.Call, class: class, width: e.Width, dest: e.Dest, number: e.Number, transit: e.Transit,
+		arrived: c.now, aimAt: c.now + cl.Aim, deadline: c.now + e.Patience, worth: cl.Worth}
+	if k.width < 1 {
+		k.width = cl.Width
+	}
+	k.worth *= c.shareWorth(e)
+	c.calls[k.id] = k
+	if to := c.far[k.dest]; to != nil {
+		c.countOffered(to, class)
+	}
+	if k.transit {
+		c.passOn(k)
+		return
+	}
+	c.own.offer(c.now)
+	c.route(k)
+}
+
+func (c *Controller) onStanding(e Standing) {
+	k := c.calls[e.Call]
+	if k == nil || k.to == nil || k.attempts != e.Attempt+1 {
+		return
+	}
+	k.standing, k.closed = true, true
+	k.to.unsend(k)
+	if !k.isTandem {
+		c.answered(k.to, e.Took)
+	} else if k.to.turned != nil {
+		delete(k.to.turned, k.dest)
+	}
+}
+
+func (c *Controller) onEnded(e Ended) {
+	c.takeReport(e.Exchange, e.Report)
+	k := c.calls[e.Call]
+	if k == nil || k.to == nil || k.attempts != e.Attempt+1 {
+		return
+	}
+	to, stood := k.to, k.standing
+	c.unplace(k)
+	if e.Concluded {
+		k.closed = true
+	}
+	if !stood {
+		c.judge(to, k, e)
+	}
+	if k.closed {
+		delete(c.calls, k.id)
+		c.serve()
+		return
+	}
+	switch e.Outcome {
+	case TimedOut, Cut, Cancelled:
+		k.after = c.now + c.s.ReleaseGuard
+	}
+	if mayHaveRun(e.Outcome) && k.ranAt == nil {
+		k.ranAt, k.ranSent = k.via, k.sentAt
+	}
+	c.goOn(k, e)
+}
+
+// goOn decides what follows a failed attempt: another route where one can help, else an early answer.
+func (c *Controller) goOn(k *call, e Ended) {
+	switch {
+	case k.transit, e.Outcome == Busy && e.Cause == LinesBusy:
+		c.refuse(k)
+	case e.Outcome == NotSent && e.Cause == ProcessorFull: // the own processor is down
+		c.refuse(k)
+	case e.Outcome == Busy && !k.isTandem && k.attempts == 1: // a signalling fault: once more
+		k.direct = false
+		c.route(k)
+	case !k.isTandem && !c.s.Pools && (e.Outcome != NotSent && e.Cause != NoCircuit):
+		c.refuse(k) // the far end itself is silent or full: every other route ends there too
+	case k.isTandem && (e.Cause == TurnedBackFull):
+		c.refuse(k)
+	default:
+		c.route(k)
+	}
+}
+
+// ---- The ordinary path: bands, direct, then the pair's tandems.
+
+// holdBands sorts the classes into bands by hold: band i holds 2^i to 2^(i+1) times the shortest.
+func holdBands(classes []Class) (band []int, n int) {
+	shortest, longest := time.Duration(math.MaxInt64), time.Duration(0)
+	for _, cl := range classes {
+		shortest, longest = min(shortest, cl.Hold), max(longest, cl.Hold)
+	}
+	n = max(1, int(math.Ceil(octaves(longest, shortest))))
+	for _, cl := range classes {
+		band = append(band, min(n-1, int(octaves(cl.Hold, shortest))))
+	}
+	return band, n
+}
+
+// octaves is log2 of a ratio of told holds. A ratio that rounding could have moved off a power of two
+// counts as that power, so that the count of bands does not hang on the last digit told.
+func octaves(long, short time.Duration) float64 {
+	x := math.Log2(float64(long) / float64(short))
+	if r := math.Round(x); math.Abs(x-r) <= roundingOctaves {
+		return r
+	}
+	return x
+}
+
+// countOffered keeps the popularity of the classes on a group.
+func (c *Controller) countOffered(n *neighbour, class int) {
+	keep := decay(c.now-n.offeredAt, popularityHalfLife)
+	for i := range n.offered {
+		n.offered[i] *= keep
+	}
+	n.offered[class]++
+	n.offeredAt = c.now
+}
+
+// shares splits a group's circuits over the bands by popularity times hold; without counts all are in the
+// first band, which every call may use.
+func (c *Controller) shares(n *neighbour) []float64 {
+	share, sum := make([]float64, c.bands), 0.0
+	for i, cl := range c.s.Classes {
+		f := n.offered[i] * cl.Hold.Seconds()
+		share[c.band[i]] += f
+		sum += f
+	}
+	if sum == 0 {
+		share[0], sum = 1, 1
+	}
+	for i := range share {
+		share[i] *= n.size / sum
+	}
+	return share
+}
+
+// bandRoom is how many circuits each band up to that of class has left, own band last.
+func (c *Controller) bandRoom(n *neighbour, class int) []float64 {
+	room := c.shares(n)[:c.band[class]+1]
+	for i := range room {
+		room[i] = max(0, room[i]-n.used[i])
+	}
+	return room
+}
+
+// fitsDirect tells whether a call may take circuits of its direct group: any call while there is plenty,
+// near a full group only those for which bands up to its own have room. A class in the last band may use
+// all that is free.
+func (c *Controller) fitsDirect(n *neighbour, k *call) bool {
+	if n.free < 0 {
+		return true // not told yet
+	}
+	w := float64(k.width)
+	if n.free < w {
+		return false
+	}
+	if c.bands == 1 || n.free >= float64(c.widest)+c.reserve(n) {
+		return true
+	}
+	room := 0.0
+	for _, r := range c.bandRoom(n, k.class) {
+		room += r
+	}
+	return math.Min(room, n.free) >= w
+}
+
+// reserve is the number of a group's last circuits that transit and tandem legs stay off.
+func (c *Controller) reserve(n *neighbour) float64 {
+	return float64(c.widest) + math.Floor(reserveRoot*math.Sqrt(max(0, n.size)))
+}
+
+// fitsTandem tells whether a transit or tandem leg may take circuits of a group.
+func (c *Controller) fitsTandem(n *neighbour, k *call) bool {
+	return n.free >= float64(k.width)+c.reserve(n)
+}
+
+// route sends a call by its next route, or holds or refuses it.
+func (c *Controller) route(k *call) {
+	to := c.far[k.dest]
+	if to == nil || k.attempts >= c.s.MaxAttempts || !c.mayRepeat(k) || k.dest == c.s.Own {
+		c.refuse(k)
+		return
+	}
+	if k.after > c.now || c.queued(k, to) || !c.tryNow(k, to) {
+		c.hold(k)
+	}
+}
+
+// tryNow sends a call by the direct route or a tandem if either takes it now.
+func (c *Controller) tryNow(k *call, to *neighbour) bool {
+	if c.usable(to) && c.mayGo(k, to.cur) {
+		if c.fitsDirect(to, k) {
+			if c.admit(k, to) {
+				c.place(k, to, false)
+				return true
+			}
+			return false // the far end itself is pressed: a tandem would only add to it
+		}
+	} else if !c.s.Pools {
+		return false // no processor there to end at
+	}
+	if c.bound(to) && !c.s.Pools || c.own.bound() {
+		return false
+	}
+	for _, t := range c.tandems(k) {
+		if len(k.tandems) < maxTandems && c.takesTandem(k, t) {
+			c.place(k, t, true)
+			return true
+		}
+	}
+	return false
+}
+
+// tandems lists the second choices of a call in the order hashed from the pair.
+func (c *Controller) tandems(k *call) []*neighbour {
+	list := make([]*neighbour, 0, len(c.order))
+	for _, n := range c.order {
+		if n.number != k.dest && n.number != c.s.Own && (!c.s.Pools || c.skilled(k.class, n.number)) {
+			list = append(list, n)
+		}
+	}
+	score := func(n *neighbour) uint64 {
+		return mix(uint64(c.s.Own+1)<<40 ^ uint64(k.dest)<<20 ^ uint64(n.number))
+	}
+	slices.SortStableFunc(list, func(a, b *neighbour) int {
+		if score(a) < score(b) {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
+
+// takesTandem tells whether a tandem can be tried: it works, is not starting or pressed, the leg keeps its
+// reserve, and it did not just turn back a call to the same exchange.
+func (c *Controller) takesTandem(k *call, t *neighbour) bool {
+	return c.usable(t) && !c.cold(t.cur) && !c.bound(t) && c.mayGo(k, t.cur) && c.fitsTandem(t, k) &&
+		t.turned[k.dest] <= c.now && !slices.Contains(k.tandems, t)
+}
+
+// place sends a call; the time-out of a tandem attempt leaves room for another route.
+func (c *Controller) place(k *call, to *neighbour, tandem bool) {
+	k.to, k.via, k.isTandem, k.sentAt = to, to.cur, tandem, c.now
+	k.attempts++
+	var timeout time.Duration
+	if tandem {
+		k.tandems = append(k.tandems, to)
+		timeout = min(k.deadline-c.now, time.Duration(tandemWait*float64(c.s.Classes[k.class].Aim)))
+	} else {
+		k.direct = true
+	}
+	c.fill(to, k)
+	to.sent = append(to.sent, k)
+	to.gate.count(c.now)
+	c.out = append(c.out, SetUp{Call: k.id, Exchange: to.cur.id, Timeout: timeout})
+}
+
+// fill books a call's circuits on its group: own band first, then shorter ones, the rest on its own.
+func (c *Controller) fill(n *neighbour, k *call) {
+	w := float64(k.width)
+	k.inBand = make([]float64, c.bands)
+	room := c.bandRoom(n, k.class)
+	for i := len(room) - 1; i >= 0 && w > 0; i-- {
+		take := min(w, math.Floor(room[i]))
+		k.inBand[i] += take
+		w -= take
+	}
+	k.inBand[c.band[k.class]] += w
+	for i := range k.inBand {
+		n.used[i] += k.inBand[i]
+	}
+	if n.free >= 0 {
+		n.free = max(0, n.free-float64(k.width))
+	}
+}
+
+// unplace takes an ended attempt off its group's books.
+func (c *Controller) unplace(k *call) {
+	k.to.unsend(k)
+	for i := range k.inBand {
+		k.to.used[i] -= k.inBand[i]
+	}
+	k.to, k.standing = nil, false
+}
+
+func (n *neighbour) unsend(k *call) {
+	n.sent = slices.DeleteFunc(n.sent, func(o *call) bool { return o == k })
+}
+
+// passOn sends a call in transit to its destination at once, or turns it back.
+func (c *Controller) passOn(k *call) {
+	to := c.far[k.dest]
+	if to == nil || k.dest == c.s.Own || !c.usable(to) || !c.fitsTandem(to, k) || c.bound(to) ||
+		!c.admit(k, to) {
+		c.refuse(k)
+		return
+	}
+	c.place(k, to, false)
+}
+
+// ---- Held calls. Exception to the design: a call that no route takes waits for a circuit or its turn at a
+// gate while it can still stand within its aim. Held calls go worthier first.
+
+// hold keeps a call until its latest useful time, or refuses it.
+func (c *Controller) hold(k *call) {
+	if c.now >= c.latest(k) || c.far[k.dest] == nil {
+		c.refuse(k)
+		return
+	}
+	if !k.held {
+		k.held = true
+		i, _ := slices.BinarySearchFunc(c.waiting, k, c.before)
+		c.waiting = slices.Insert(c.waiting, i, k)
+	}
+	if !c.ticking {
+		c.ticking = true
+		c.out = append(c.out, Timer{After: tick, Token: tokenTick})
+	}
+}
+
+// before orders held calls: worth per circuit and time, then wider, then older.
+func (c *Controller) before(a, b *call) int {
+	if da, db := c.density(a), c.density(b); da != db {
+		return sign(db - da)
+	}
+	if a.width != b.width {
+		return b.width - a.width
+	}
+	if a.arrived != b.arrived {
+		return sign(float64(a.arrived - b.arrived))
+	}
+	return int(a.id) - int(b.id)
+}
+
+// density is a call's worth for each circuit and second.
+func (c *Controller) density(k *call) float64 {
+	return k.worth / (float64(k.width) * c.s.Classes[k.class].Hold.Seconds())
+}
+
+// latest is the last moment at which sending a held call still makes sense.
+func (c *Controller) latest(k *call) time.Duration {
+	aim := c.s.Classes[k.class].Aim
+	at := k.arrived + time.Duration(holdShare*float64(aim)) - c.far[k.dest].latency
+	if k.attempts > 0 {
+		at = max(at, k.after+2*tick)
+	}
+	return min(at, k.deadline-lastAnswer)
+}
+
+// queued tells whether an equal or worthier call waits for the same group.
+func (c *Controller) queued(k *call, to *neighbour) bool {
+	for _, w := range c.waiting {
+		if w != k && w.dest == to.number && w.after <= c.now && c.before(w, k) < 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// serve goes through the held calls: sends what can go, refuses what has no time left.
+func (c *Controller) serve() {
+	if len(c.waiting) == 0 {
+		return
+	}
+	list := slices.Clone(c.waiting)
+	passed := map[int]bool{}
+	for _, k := range list {
+		to := c.far[k.dest]
+		if k.after <= c.now && !passed[k.dest] {
+			if c.tryNow(k, to) {
+				c.unhold(k)
+				continue
+			}
+			passed[k.dest] = true
+		}
+		if c.now >= c.latest(k) {
+			c.refuse(k)
+		}
+	}
+}
+
+func (c *Controller) unhold(k *call) {
+	k.held = false
+	c.waiting = slices.DeleteFunc(c.waiting, func(o *call) bool { return o == k })
+}
+
+// ---- Guard: the list. Nothing new goes to an exchange from the moment it is told to drain or be gone,
+// held calls included. Guards calls from being cut when it stops; harms if the list is wrong.
+
+func (c *Controller) onList(e List) {
+	if e.Kind == ListFailed {
+		c.asks++
+		wait := min(time.Second<<min(c.asks-1, 4), max(c.s.MustAskIn/2, time.Second))
+		c.out = append(c.out, Timer{After: wait/2 + c.jitter(wait/2), Token: tokenAsk})
+		return
+	}
+	if e.Kind == ListCached && c.s.Subscribe {
+		c.out = append(c.out, Subscribe{})
+	} else {
+		c.asks = 0
+	}
+	if e.Kind != ListChanges {
+		for _, x := range c.listed {
+			x.phase = Gone
+		}
+	}
+	for _, n := range e.Entries {
+		x := c.listed[n.Exchange]
+		if x == nil {
+			x = &exchange{id: n.Exchange}
+			c.listed[n.Exchange] = x
+		}
+		x.number, x.zone, x.phase, x.started = n.Number, n.Zone, n.Phase, n.Started
+		c.neighbour(n.Number)
+	}
+	c.chooseProcessors()
+	c.serve()
+}
+
+// neighbour finds or makes the record of an exchange number.
+func (c *Controller) neighbour(number int) *neighbour {
+	n := c.far[number]
+	if n == nil {
+		n = &neighbour{number: number, free: Unknown, size: Unknown, used: make([]float64, c.bands),
+			offered: make([]float64, len(c.s.Classes)), turned: map[int]time.Duration{}}
+		c.far[number] = n
+		i, _ := slices.BinarySearchFunc(c.order, n, func(a, b *neighbour) int { return a.number - b.number })
+		c.order = slices.Insert(c.order, i, n)
+	}
+	return n
+}
+
+// chooseProcessors picks, for each number, the ready processor that started last.
+func (c *Controller) chooseProcessors() {
+	ids := make([]ExchangeID, 0, len(c.listed))
+	for id := range c.listed {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	best := map[int]*exchange{}
+	for _, id := range ids {
+		x := c.listed[id]
+		if b := best[x.number]; x.phase == Ready && (b == nil || x.started > b.started) {
+			best[x.number] = x
+		}
+	}
+	for _, n := range c.order {
+		if b := best[n.number]; b != n.cur {
+			n.cur = b
+			n.latency = 0
+		}
+	}
+}
+
+// usable tells whether set-ups may go to a neighbour at all.
+func (c *Controller) usable(n *neighbour) bool {
+	return n.cur != nil && n.cur.phase == Ready && n.number != c.s.Own
+}
+
+// ---- Guard: cold starts. A processor that just started gets, from each proxy, no more than the part of the
+// proxy's usual rate that a processor at its stage can do; since the usual rates together fit a warm one,
+// the parts together fit a cold one, whoever has more traffic. Also spares a slow start its jam.
+
+// cold tells whether a processor is still starting.
+func (c *Controller) cold(x *exchange) bool {
+	return x != nil && x.started > 0 && c.now < x.started+c.s.ColdFor
+}
+
+// coldRate is the set-ups a second that a starting processor may be sent from here.
+func (c *Controller) coldRate(x *exchange, usual float64) float64 {
+	age := float64(c.now-x.started) / float64(c.s.ColdFor)
+	return usual * (c.s.ColdFrom + (1-c.s.ColdFrom)*max(0, age))
+}
+
+// usual is the rate of set-ups to a neighbour in quiet times: as seen, or as its group's size suggests.
+func (c *Controller) usual(n *neighbour) float64 {
+	plan := max(1, n.size) / (2 * c.s.Classes[0].Hold.Seconds() * float64(c.s.Classes[0].Width))
+	return max(min(n.gate.rate(c.now), 2*plan), plan/2)
+}
+
+// ---- Guard: pressure. A gate narrows when a processor answers slowly, says 'full' or stays silent, and
+// widens with good answers; it always lets a few through. One for each far processor, one for the own.
+// Catches slow, hung, crashed, cut-off and jammed processors alike, with or without load reports. Harms when
+// a single slow answer was chance: then some calls wait for their turn.
+
+type gate struct {
+	limit   float64 // set-ups a second; 0 is open
+	tokens  bucket
+	count_  float64 // decayed count of set-ups
+	countAt time.Duration
+	pressAt time.Duration
+}
+
+func (g *gate) count(now time.Duration) {
+	g.count_ = g.count_*decay(now-g.countAt, rateHalfLife) + 1
+	g.countAt = now
+}
+
+func (g *gate) offer(now time.Duration) { g.count(now) }
+
+// rate is the recent number a second.
+func (g *gate) rate(now time.Duration) float64 {
+	return g.count_ * decay(now-g.countAt, rateHalfLife) * math.Ln2 / rateHalfLife.Seconds()
+}
+
+func (g *gate) bound() bool { return g.limit > 0 }
+
+// narrow cuts the gate, from what is let through now.
+func (g *gate) narrow(now time.Duration, by float64) {
+	if g.limit > 0 && now < g.pressAt+pressEvery {
+		return
+	}
+	from := g.limit
+	if from == 0 {
+		from = g.rate(now)
+		g.tokens = bucket{0, now}
+	}
+	g.limit, g.pressAt = max(trialRate, from*by), now
+}
+
+// widen opens the gate a little; wide enough, it binds no more.
+func (g *gate) widen(now time.Duration, usual float64) {
+	if g.limit > 0 {
+		if g.limit *= widenBy; g.limit > openAt*max(usual, trialRate) {
+			g.limit = 0
+		}
+	}
+}
+
+// take lets a set-up through if the rate has room; worthier calls may run a little ahead.
+func (b *bucket) take(now time.Duration, rate, depth, slack float64) bool {
+	b.level = min(depth, b.level+rate*(now-b.at).Seconds())
+	b.at = now
+	if b.level+slack < 1 {
+		return false
+	}
+	b.level--
+	return true
+}
+
+// bound tells whether a neighbour's processor is under pressure or starting.
+func (c *Controller) bound(n *neighbour) bool {
+	return n.gate.bound() || c.cold(n.cur)
+}
+
+// admit asks the gates on a call's way for a set-up.
+func (c *Controller) admit(k *call, to *neighbour) bool {
+	slack := 0.0
+	if k.worth > c.meanVal {
+		slack = worthySlack
+	}
+	c.watchSilence(to)
+	rate := to.gate.limit
+	if c.cold(to.cur) {
+		if r := c.coldRate(to.cur, c.usual(to)); rate == 0 || r < rate {
+			rate = r
+		}
+	}
+	if rate > 0 && !to.gate.tokens.take(c.now, rate, gateDepth, slack) {
+		return false
+	}
+	if c.own.bound() && !c.own.tokens.take(c.now, c.own.limit, gateDepth, slack) {
+		return false
+	}
+	return true
+}
+
+// watchSilence narrows a gate when a set-up has been out for long without an answer.
+func (c *Controller) watchSilence(n *neighbour) {
+	if len(n.sent) > 0 && c.now-n.sent[0].sentAt > c.minAim/2 {
+		n.gate.narrow(c.now, narrowBy)
+	}
+}
+
+// answered judges the processors by the time a set-up took: what all neighbours show is the own one's.
+func (c *Controller) answered(n *neighbour, took time.Duration) {
+	n.latency, n.sampledAt = took, c.now
+	least := took
+	seen := 0
+	for _, o := range c.order {
+		if o.sampledAt > 0 && c.now-o.sampledAt < sightFor {
+			least = min(least, o.latency)
+			seen++
+		}
+	}
+	target := time.Duration(pressedShare * float64(c.minAim))
+	if took-least > target {
+		n.gate.narrow(c.now, narrowBy)
+	} else {
+		n.gate.widen(c.now, c.usual(n))
+	}
+	if least > target && seen > 1 {
+		c.own.narrow(c.now, narrowBy)
+	} else {
+		c.own.widen(c.now, c.own.rate(c.now))
+	}
+}
+
+// judge learns from an attempt that did not stand.
+func (c *Controller) judge(to *neighbour, k *call, e Ended) {
+	dest := c.far[k.dest]
+	switch {
+	case e.Outcome == NotSent && e.Cause == NoCircuit:
+		if to.free > 0 {
+			to.free = 0
+		}
+	case k.isTandem && e.Outcome == Full && e.Cause != ProcessorFull:
+		to.turned[k.dest] = c.now + turnedFor
+		if e.Cause == TurnedBackFull && dest != nil {
+			dest.gate.narrow(c.now, narrowBy)
+		}
+	case e.Outcome == Full && e.Cause == ProcessorFull:
+		to.gate.narrow(c.now, narrowBy)
+	case k.isTandem && e.Outcome == TimedOut:
+		to.turned[k.dest] = c.now + turnedFor
+	case e.Outcome == TimedOut, e.Outcome == Unreachable:
+		to.gate.narrow(c.now, shutBy)
+	}
+}
+
+func (c *Controller) onReport(e Reported) {
+	c.takeReport(e.Exchange, e.Report)
+	c.serve()
+}
+
+func (c *Controller) takeReport(id ExchangeID, r Report) {
+	x := c.listed[id]
+	if x == nil {
+		return
+	}
+	if n := c.far[x.number]; n != nil && r.Free >= 0 {
+		n.free = r.Free
+		if r.Size >= 0 {
+			n.size = r.Size
+		}
+	}
+}
+
+// ---- Guard: repeats of calls that must not run twice.
+
+// mayRepeat tells whether a call may be sent again at all.
+func (c *Controller) mayRepeat(k *call) bool {
+	return k.ranAt == nil || c.s.Classes[k.class].Repeat != RepeatUnsafe
+}
+
+// mayGo tells whether a call may be sent to a processor, given where it may have run.
+func (c *Controller) mayGo(k *call, x *exchange) bool {
+	cl := &c.s.Classes[k.class]
+	if k.ranAt == nil || cl.Repeat == RepeatSafe {
+		return true
+	}
+	if cl.Repeat == RepeatUnsafe || c.now >= k.ranSent+cl.Window {
+		return false
+	}
+	switch cl.Scope {
+	case ScopeZone:
+		return x.zone == k.ranAt.zone
+	case ScopeExchange:
+		return x.number == k.ranAt.number
+	}
+	return true
+}
+
+// mayRefuse tells whether 'refused' is a true answer: the call cannot have run, or its repeats are known.
+func (c *Controller) mayRefuse(k *call) bool {
+	cl := &c.s.Classes[k.class]
+	return k.ranAt == nil || cl.Repeat == RepeatSafe || cl.Repeat == RepeatKeyed && cl.Scope == ScopeAll
+}
+
+// refuse gives the final answer, with a spread-out advice to stay away.
+func (c *Controller) refuse(k *call) {
+	if k.held {
+		c.unhold(k)
+	}
+	delete(c.calls, k.id)
+	if !c.mayRefuse(k) || c.now >= k.deadline {
+		c.out = append(c.out, Fail{k.id})
+		return
+	}
+	var away time.Duration
+	if c.s.RetryAfter && !k.transit {
+		away = c.s.MaxStayAway/2 + c.jitter(c.s.MaxStayAway/2)
+	}
+	c.out = append(c.out, Refuse{k.id, away})
+}
+
+// close ends a call whose caller is gone or answered; an attempt that is out stays on the books.
+func (c *Controller) close(k *call) {
+	k.closed = true
+	if k.held {
+		c.unhold(k)
+	}
+	if k.to == nil {
+		delete(c.calls, k.id)
+	}
+}
+
+func (c *Controller) onTimer(token uint64) {
+	switch token {
+	case tokenAsk:
+		c.out = append(c.out, Subscribe{})
+	case tokenTick:
+		c.ticking = false
+		c.serve()
+		if len(c.waiting) > 0 {
+			c.ticking = true
+			c.out = append(c.out, Timer{After: tick, Token: tokenTick})
+		}
+	}
+}
+
+// shareWorth is the part of its class's worth that a call has: little beyond its tenant's share. The
+// tenant's quota is taken to come evenly over the proxies.
+func (c *Controller) shareWorth(e Offer) float64 {
+	if e.Tenant < 0 || e.Tenant >= len(c.tenants) || c.s.Tenants[e.Tenant].Quota <= 0 || e.Transit {
+		return 1
+	}
+	rate := c.s.Tenants[e.Tenant].Quota / float64(c.s.Proxies)
+	if c.tenants[e.Tenant].take(c.now, rate, max(2, 3*rate), 0) {
+		return 1
+	}
+	return c.s.OverShareWorth
+}
+
+// skilled tells whether a class may go to a pool.
+func (c *Controller) skilled(class, pool int) bool {
+	return slices.Contains(c.s.ClassPools[class], pool)
+}
+
+func mayHaveRun(o Outcome) bool {
+	return o != Full && o != Unreachable && o != NotSent
+}
+
+func decay(age, half time.Duration) float64 {
+	return math.Exp2(-age.Seconds() / half.Seconds())
+}
+
+func sign(x float64) int {
+	if x < 0 {
+		return -1
+	}
+	return 1
+}
+
+// jitter is a random time from 0 to d.
+func (c *Controller) jitter(d time.Duration) time.Duration {
+	if d <= 0 {
+		return 0
+	}
+	c.rng += 0x9e3779b97f4a7c15
+	hi, _ := bits.Mul64(mix(c.rng), uint64(d))
+	return time.Duration(hi)
+}
+
+// mix scrambles the bits of a number.
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/decide/decide_test.go
@@ -0,0 +1,510 @@
+package decide
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+// settings are those of a small mesh whose own exchange is 0 and that has one class.
+func settings() Settings {
+	return Settings{
+		Own: 0, Proxies: 4, MaxAttempts: 5, RetryAfter: true, OverShareWorth: 0.05,
+		Classes:     []Class{{Hold: 10 * time.Second, Width: 1, Aim: time.Second, Deadline: 9 * time.Second, Worth: 1}},
+		MaxStayAway: 2 * time.Second, ReleaseGuard: 300 * ms, AnswerSlack: 20 * ms, DrainGrace: time.Second,
+		MustAskIn: 10 * time.Second, ColdFrom: 0.3, ColdFor: 12 * time.Second, FallMultiple: 3,
+		FallFor: 2 * time.Second,
+	}
+}
+
+// rig drives one controller and checks at every step what must always hold.
+type rig struct {
+	t        *testing.T
+	c        *Controller
+	now      time.Duration
+	offered  map[CallID]bool
+	answered map[CallID]int
+	out      map[CallID]bool
+	attempts map[CallID]int
+	timers   []timer
+	acts     []Action
+}
+
+type timer struct {
+	at    time.Duration
+	token uint64
+}
+
+func newRig(t *testing.T, s Settings) *rig {
+	r := &rig{t: t, c: New(s, 7), now: 100 * time.Second, offered: map[CallID]bool{},
+		answered: map[CallID]int{}, out: map[CallID]bool{}, attempts: map[CallID]int{}}
+	var l List
+	l.Kind = ListCached
+	for i := 0; i < 4; i++ {
+		l.Entries = append(l.Entries, Entry{Exchange: id(i), Number: i, Phase: Ready})
+	}
+	r.feed(l)
+	for i := 1; i < 4; i++ {
+		r.free(i, 30, 40)
+	}
+	return r
+}
+
+func id(number int) ExchangeID { return ExchangeID(1000 + number) }
+
+func (r *rig) feed(ev Event) []Action {
+	r.t.Helper()
+	acts := r.c.Feed(r.now, ev)
+	for _, a := range acts {
+		switch a := a.(type) {
+		case SetUp:
+			if r.out[a.Call] {
+				r.t.Fatalf("call %d has two attempts out", a.Call)
+			}
+			if r.answered[a.Call] > 0 || !r.offered[a.Call] {
+				r.t.Fatalf("set-up of call %d, which is not open", a.Call)
+			}
+			r.out[a.Call] = true
+			r.attempts[a.Call]++
+		case Refuse:
+			r.answered[a.Call]++
+		case Fail:
+			r.answered[a.Call]++
+		case Timer:
+			r.timers = append(r.timers, timer{r.now + a.After, a.Token})
+		}
+	}
+	for call, n := range r.answered {
+		if n > 1 || !r.offered[call] {
+			r.t.Fatalf("call %d answered %d times", call, n)
+		}
+	}
+	r.acts = append(r.acts, acts...)
+	return acts
+}
+
+func (r *rig) free(number int, free, size float64) []Action {
+	rep := NoReport
+	rep.Free, rep.Size = free, size
+	return r.feed(Reported{Exchange: id(number), Outcome: Completed, Report: rep})
+}
+
+func (r *rig) offer(call CallID, dest int, more ...func(*Offer)) []Action {
+	o := Offer{Call: call, Patience: 3 * time.Second, Dest: dest, Width: 1, Advised: Unknown}
+	for _, m := range more {
+		m(&o)
+	}
+	r.offered[call] = true
+	return r.feed(o)
+}
+
+func (r *rig) end(call CallID, to int, how Outcome, cause Cause) []Action {
+	r.out[call] = false
+	return r.feed(Ended{Call: call, Attempt: r.attempts[call] - 1, Exchange: id(to), Outcome: how, Cause: cause,
+		Concluded: how == Completed, Report: NoReport})
+}
+
+func (r *rig) stand(call CallID, to int, took time.Duration) []Action {
+	return r.feed(Standing{Call: call, Attempt: r.attempts[call] - 1, Exchange: id(to), Took: took})
+}
+
+// run lets time pass and fires the timers that come due.
+func (r *rig) run(d time.Duration) []Action {
+	var acts []Action
+	for end := r.now + d; r.now < end; {
+		r.now += 5 * ms
+		due := r.timers
+		r.timers = nil
+		for _, tm := range due {
+			if tm.at <= r.now {
+				acts = append(acts, r.feed(TimerDue{tm.token})...)
+			} else {
+				r.timers = append(r.timers, tm)
+			}
+		}
+	}
+	return acts
+}
+
+// sent is the exchange number of the first set-up among actions, or Unknown.
+func sent(acts []Action) int {
+	for _, a := range acts {
+		if s, ok := a.(SetUp); ok {
+			return int(s.Exchange) - 1000
+		}
+	}
+	return Unknown
+}
+
+func refused(acts []Action) bool {
+	for _, a := range acts {
+		if _, ok := a.(Refuse); ok {
+			return true
+		}
+	}
+	return false
+}
+
+func failed(acts []Action) bool {
+	for _, a := range acts {
+		if _, ok := a.(Fail); ok {
+			return true
+		}
+	}
+	return false
+}
+
+func transit(o *Offer) { o.Transit = true }
+
+func TestHoldBands(t *testing.T) {
+	for _, tc := range []struct {
+		holds []float64
+		band  []int
+		n     int
+	}{
+		{[]float64{10}, []int{0}, 1},
+		{[]float64{10, 10}, []int{0, 0}, 1},
+		{[]float64{10, 20}, []int{0, 0}, 1},             // a ratio of two is one band
+		{[]float64{12.1, 7.2, 14.5}, []int{0, 0, 0}, 1}, // 2.014 told for 2
+		{[]float64{7.2, 14.3}, []int{0, 0}, 1},          // 1.986 told for 2
+		{[]float64{10, 25}, []int{0, 1}, 2},
+		{[]float64{10, 19.9, 80}, []int{0, 1, 2}, 3}, // close to the power counts as the power
+		{[]float64{10, 30, 81}, []int{0, 1, 2}, 3},
+	} {
+		var cl []Class
+		for _, h := range tc.holds {
+			cl = append(cl, Class{Hold: time.Duration(h * float64(time.Second))})
+		}
+		band, n := holdBands(cl)
+		if n != tc.n || fmt.Sprint(band) != fmt.Sprint(tc.band) {
+			t.Errorf("holds %v: bands %v of %d, want %v of %d", tc.holds, band, n, tc.band, tc.n)
+		}
+	}
+}
+
+// banded has a short and a long class, so two bands.
+func banded() Settings {
+	s := settings()
+	long := s.Classes[0]
+	long.Hold = 40 * time.Second
+	s.Classes = append(s.Classes, long)
+	return s
+}
+
+func TestSharesFollowPopularityTimesHold(t *testing.T) {
+	c := New(banded(), 1)
+	n := c.neighbour(1)
+	n.size = 50
+	if got := c.shares(n); got[0] != 50 || got[1] != 0 {
+		t.Errorf("without counts the shares are %v, want all in the first band", got)
+	}
+	n.offered = []float64{4, 4}
+	if got := c.shares(n); math.Abs(got[0]-10) > 1e-9 || math.Abs(got[1]-40) > 1e-9 {
+		t.Errorf("shares %v, want 10 and 40", got)
+	}
+}
+
+func TestBandsBindOnlyNearAFullGroup(t *testing.T) {
+	c := New(banded(), 1)
+	n := c.neighbour(1)
+	n.size, n.free, n.offered = 50, 30, []float64{4, 4}
+	n.used = []float64{10, 10}
+	short, long := &call{width: 1}, &call{width: 1, class: 1}
+	if !c.fitsDirect(n, short) {
+		t.Error("with plenty free, a short call goes although its band is full")
+	}
+	n.free = 2
+	if c.fitsDirect(n, short) {
+		t.Error("near a full group, a short call whose band is full must not go")
+	}
+	n.used = []float64{0, 40}
+	if !c.fitsDirect(n, long) {
+		t.Error("a long call may use the shorter band's room")
+	}
+	n.free = 0
+	if c.fitsDirect(n, long) {
+		t.Error("a full group takes nothing")
+	}
+}
+
+func TestDirectThenPairsTandemsThenRefused(t *testing.T) {
+	r := newRig(t, settings())
+	if got := sent(r.offer(1, 2)); got != 2 {
+		t.Fatalf("first route is %d, want direct 2", got)
+	}
+	r.free(2, 0, 40)
+	first := sent(r.offer(2, 2))
+	if first != 1 && first != 3 {
+		t.Fatalf("second route is %d, want a tandem", first)
+	}
+	second := sent(r.end(2, first, Full, TurnedBack))
+	if second != 4-first {
+		t.Fatalf("third route is %d, want the other tandem", second)
+	}
+	acts := append(r.end(2, second, Full, TurnedBack), r.run(2*time.Second)...)
+	if !refused(acts) {
+		t.Fatal("a call that every route turned away must be refused")
+	}
+}
+
+func TestLegsStayOffTheLastCircuits(t *testing.T) {
+	r := newRig(t, settings())
+	for _, n := range []int{1, 2, 3} {
+		r.free(n, 2, 40)
+	}
+	if got := sent(r.offer(1, 2)); got != 2 {
+		t.Fatalf("a direct call may use the last circuits, went to %d", got)
+	}
+	if acts := r.offer(2, 3, transit); !refused(acts) {
+		t.Fatal("a call in transit must be turned back from the last circuits")
+	}
+	r.free(2, 0, 40)
+	if got := sent(r.offer(3, 2)); got != Unknown {
+		t.Fatalf("a tandem leg must stay off the last circuits, went to %d", got)
+	}
+	r.free(3, 30, 40)
+	if got := sent(r.offer(4, 3, transit)); got != 3 {
+		t.Fatalf("with room, transit goes to its destination, went to %d", got)
+	}
+}
+
+func TestHeldCallTakesAFreedCircuit(t *testing.T) {
+	r := newRig(t, settings())
+	for _, n := range []int{1, 2, 3} {
+		r.free(n, 0, 40)
+	}
+	if acts := r.offer(1, 2); sent(acts) != Unknown || refused(acts) {
+		t.Fatal("a blocked call is held at first")
+	}
+	r.run(200 * ms)
+	if got := sent(r.free(2, 1, 40)); got != 2 {
+		t.Fatalf("the held call takes the freed circuit, went to %d", got)
+	}
+}
+
+func TestEveryPathAnswersOnce(t *testing.T) {
+	for how := Completed; how <= lastOutcome; how++ {
+		for cause := CauseUnknown; cause <= LinesBusy; cause++ {
+			for _, tr := range []bool{false, true} {
+				r := newRig(t, settings())
+				r.offer(1, 2, func(o *Offer) { o.Transit = tr })
+				for i := 0; i < 8 && r.answered[1] == 0 && how != Completed; i++ {
+					if r.out[1] {
+						to := 2
+						if k := r.c.calls[1]; k.isTandem {
+							to = k.to.number
+						}
+						r.end(1, to, how, cause)
+					}
+					r.run(400 * ms)
+				}
+				if how == Completed {
+					r.stand(1, 2, 50*ms)
+					r.end(1, 2, how, cause)
+				}
+				if want := map[bool]int{true: 0, false: 1}[how == Completed]; r.answered[1] != want {
+					t.Errorf("outcome %d cause %d transit %v: %d answers", how, cause, tr, r.answered[1])
+				}
+				if len(r.c.calls) != 0 || len(r.c.waiting) != 0 {
+					t.Errorf("outcome %d cause %d transit %v: call left on the books", how, cause, tr)
+				}
+			}
+		}
+	}
+}
+
+func TestCallerLeftWhileOut(t *testing.T) {
+	r := newRig(t, settings())
+	r.offer(1, 2)
+	r.feed(CallerLeft{1})
+	r.out[1] = false
+	if acts := r.feed(Ended{Call: 1, Exchange: id(2), Outcome: TimedOut, Report: NoReport}); len(acts) != 0 {
+		t.Fatalf("an outcome after the caller left asks for nothing, got %v", acts)
+	}
+	if len(r.c.calls) != 0 {
+		t.Fatal("call left on the books")
+	}
+}
+
+func TestReleaseIsAwaited(t *testing.T) {
+	for _, how := range []Outcome{TimedOut, Cut, Cancelled} {
+		r := newRig(t, settings())
+		r.free(2, 0, 40)
+		first := sent(r.offer(1, 2))
+		r.run(100 * ms)
+		at := r.now
+		acts := r.end(1, first, how, CauseUnknown)
+		for sent(acts) == Unknown && r.now < at+time.Second {
+			acts = r.run(5 * ms)
+		}
+		if sent(acts) == Unknown {
+			t.Fatalf("outcome %d: a call with time left is tried again", how)
+		}
+		if wait := r.now - at; wait < 300*ms {
+			t.Fatalf("outcome %d: sent again after %v", how, wait)
+		}
+	}
+}
+
+func TestNothingNewToADrainingOrGoneExchange(t *testing.T) {
+	for _, phase := range []Phase{Draining, Gone} {
+		r := newRig(t, settings())
+		for _, n := range []int{1, 2, 3} {
+			r.free(n, 0, 40)
+		}
+		r.offer(1, 2) // held
+		r.feed(List{Kind: ListChanges, Entries: []Entry{{Exchange: id(2), Number: 2, Phase: phase}}})
+		r.free(2, 20, 40)
+		r.offer(2, 2)
+		r.run(3 * time.Second)
+		if r.attempts[1]+r.attempts[2] != 0 {
+			t.Fatalf("phase %d: set-up to an exchange that takes nothing new", phase)
+		}
+		if r.answered[1] != 1 || r.answered[2] != 1 {
+			t.Fatalf("phase %d: held calls need an answer", phase)
+		}
+	}
+}
+
+func TestAbsentFromAFullListIsGone(t *testing.T) {
+	r := newRig(t, settings())
+	r.feed(List{Kind: ListFull, Entries: []Entry{{Exchange: id(1), Number: 1, Phase: Ready}}})
+	if got := sent(r.offer(1, 2)); got != Unknown {
+		t.Fatalf("went to %d, which the list no longer has", got)
+	}
+}
+
+// coldSends counts what is sent to a processor that has just started, out of rate calls a second.
+func coldSends(r *rig, call CallID, rate int, d time.Duration) int {
+	n := 0
+	for end := r.now + d; r.now < end; {
+		call++
+		if sent(r.offer(call, 2)) == 2 {
+			n++
+			r.stand(call, 2, 20*ms)
+			r.free(2, 30, 40)
+		}
+		r.run(time.Second / time.Duration(rate))
+	}
+	return n
+}
+
+func TestColdProcessorGetsItsPart(t *testing.T) {
+	r := newRig(t, settings())
+	warm := coldSends(r, 0, 4, 30*time.Second)
+	r.feed(List{Kind: ListChanges, Entries: []Entry{{Exchange: id(2), Phase: Gone, Number: 2},
+		{Exchange: 2222, Number: 2, Phase: Ready, Started: r.now}}})
+	usual := float64(warm) / 30
+	n := 0
+	for i, end := 0, r.now+2*time.Second; r.now < end; i++ {
+		for _, a := range r.offer(CallID(10000+i), 2) {
+			if s, ok := a.(SetUp); ok && s.Exchange == 2222 {
+				n++
+			}
+		}
+		r.free(2, 30, 40)
+		r.run(25 * ms)
+	}
+	if budget := 2 * 3 * 0.3 * usual; float64(n) > budget || n == 0 {
+		t.Fatalf("%d set-ups in 2 s to a starting processor, budget %.1f", n, budget)
+	}
+}
+
+func TestOddEventsAreHarmless(t *testing.T) {
+	c := New(settings(), 1)
+	nan := math.NaN()
+	for i, ev := range []Event{
+		TimerDue{99}, CallerLeft{5}, Standing{Call: 9}, Ended{Call: 9, Outcome: 77},
+		Reported{Exchange: 1, Report: Report{nan, nan, nan, nan, nan, nan, nan}}, PeerMessage{From: -1},
+		List{Kind: ListFailed}, List{Kind: ListFull},
+		List{Kind: ListChanges, Entries: []Entry{{Exchange: 4, Number: 4, Phase: 9}}},
+	} {
+		for _, a := range c.Feed(time.Duration(i), ev) {
+			if _, ok := a.(SetUp); ok {
+				t.Errorf("event %d asks for a set-up", i)
+			}
+		}
+	}
+	for i, o := range []Offer{{Dest: Unknown}, {Dest: 0}, {Dest: 99}, {Dest: 4, Class: -1, Tenant: 9, Width: -5},
+		{Dest: 4, Class: 12, Patience: -time.Second}} {
+		o.Call = CallID(i)
+		if acts := c.Feed(time.Second, o); len(acts) != 1 || sent(acts) != Unknown {
+			t.Errorf("offer %d: %v, want one final answer", i, acts)
+		}
+	}
+}
+
+func TestRepeatsOfUnsafeAndKeyedCalls(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		repeat Repeat
+		scope  KeyScope
+		how    Outcome
+		again  bool
+		fail   bool
+	}{
+		{"unsafe may have run", RepeatUnsafe, ScopeAll, Cut, false, true},
+		{"unsafe never ran", RepeatUnsafe, ScopeAll, Full, true, false},
+		{"keyed anywhere", RepeatKeyed, ScopeAll, Cut, true, false},
+		{"keyed in one exchange", RepeatKeyed, ScopeExchange, Cut, false, true},
+	} {
+		s := settings()
+		s.Classes[0].Repeat, s.Classes[0].Scope, s.Classes[0].Window = tc.repeat, tc.scope, 5*time.Second
+		r := newRig(t, s)
+		r.free(2, 0, 40)
+		first := sent(r.offer(1, 2))
+		acts := append(r.end(1, first, tc.how, TurnedBack), r.run(3*time.Second)...)
+		if got := sent(acts) != Unknown; got != tc.again {
+			t.Errorf("%s: sent again %v, want %v", tc.name, got, tc.again)
+		}
+		if failed(acts) != tc.fail {
+			t.Errorf("%s: failed %v, want %v", tc.name, failed(acts), tc.fail)
+		}
+	}
+}
+
+func TestSameEventsSameActions(t *testing.T) {
+	play := func() string {
+		r := newRig(t, banded())
+		for i := 0; i < 400; i++ {
+			call := CallID(i + 1)
+			if to := sent(r.offer(call, 1+i%3, func(o *Offer) { o.Class = i % 2 })); to > 0 && i%5 == 0 {
+				r.end(call, to, Outcome(2+i%7), Cause(i%6))
+			}
+			if i%7 == 0 {
+				r.free(1+i%3, float64(i%4), 40)
+			}
+			r.run(50 * ms)
+		}
+		return fmt.Sprint(r.acts)
+	}
+	if play() != play() {
+		t.Fatal("the same events led to different actions")
+	}
+}
+
+func TestListIsAskedForAgain(t *testing.T) {
+	s := settings()
+	s.Subscribe = true
+	r := newRig(t, s)
+	asked := func(acts []Action) bool {
+		for _, a := range acts {
+			if _, ok := a.(Subscribe); ok {
+				return true
+			}
+		}
+		return false
+	}
+	if !asked(r.acts) {
+		t.Fatal("the list is asked for at the start")
+	}
+	if acts := r.feed(List{Kind: ListFailed}); asked(acts) {
+		t.Fatal("a failed call is repeated after a while, not at once")
+	}
+	if !asked(r.run(s.MustAskIn)) {
+		t.Fatal("a failed call must be repeated in time")
+	}
+}
--- /dev/null
+++ b/internal/wire/settings.go
@@ -0,0 +1,153 @@
+package wire
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"time"
+
+	"pipitring/decide"
+)
+
+// Setup is what a Hello's settings text says, in the module's terms.
+type Setup struct {
+	Settings decide.Settings
+	Fields   []string // names of a load report's values
+}
+
+type settingsText struct {
+	Contract struct {
+		AnswerSlackS, ColdFrom, ColdS, DrainGraceS, FallMultiple, FallS, MustAskInS float64
+	}
+	Discovery  string
+	FamilyInfo struct {
+		ClassCells    [][]int
+		HoldingS      []float64
+		Widths        []float64
+		FarReports    string
+		SelfNo        *int
+		ReleaseGuardS float64
+		ResendS       float64
+		Shape         string
+	}
+	Limits struct {
+		Cancel, Peers, Probing, RetryAfter bool
+		MaxAttempts                        int
+		MaxRetryAfterS                     float64
+	}
+	Ordinal        int
+	OverShareWorth float64
+	PeersTotal     int
+	Profiles       []struct {
+		AimS, DeadlineS, LateValue, Value, WindowS float64
+		KeyScope, Repeat                           string
+	}
+	Realms    []struct{ QuotaPerS, Share float64 }
+	Telemetry struct {
+		Fields []string
+	}
+	Zone int
+}
+
+// ParseSettings reads a settings text. Unknown keys are ignored; absent ones are zero, one circuit wide
+// (widths), safe (repeat), and one attempt (maxAttempts).
+func ParseSettings(text []byte) (Setup, error) {
+	var t settingsText
+	if err := json.Unmarshal(text, &t); err != nil {
+		return Setup{}, fmt.Errorf("settings: %w", err)
+	}
+	s := decide.Settings{
+		Own: decide.Unknown, Pools: t.FamilyInfo.Shape == "skills", Ordinal: t.Ordinal,
+		Proxies: t.PeersTotal, Zone: t.Zone, ClassPools: t.FamilyInfo.ClassCells,
+		OverShareWorth: t.OverShareWorth, MaxAttempts: max(t.Limits.MaxAttempts, 1),
+		Probing: t.Limits.Probing, Peers: t.Limits.Peers, Cancel: t.Limits.Cancel,
+		RetryAfter: t.Limits.RetryAfter, Subscribe: t.Discovery == "subscribe",
+		MaxStayAway:  Seconds(t.Limits.MaxRetryAfterS),
+		ReleaseGuard: Seconds(t.FamilyInfo.ReleaseGuardS), ResendAfter: Seconds(t.FamilyInfo.ResendS),
+		AnswerSlack: Seconds(t.Contract.AnswerSlackS), DrainGrace: Seconds(t.Contract.DrainGraceS),
+		MustAskIn: Seconds(t.Contract.MustAskInS), ColdFrom: t.Contract.ColdFrom,
+		ColdFor: Seconds(t.Contract.ColdS), FallMultiple: t.Contract.FallMultiple,
+		FallFor: Seconds(t.Contract.FallS),
+	}
+	if t.FamilyInfo.SelfNo != nil {
+		s.Own = *t.FamilyInfo.SelfNo
+	}
+	switch t.FamilyInfo.FarReports {
+	case "inline":
+		s.Reports = decide.ReportsInAnswers
+	case "on_probe":
+		s.Reports = decide.ReportsOnProbe
+	}
+	if len(t.FamilyInfo.HoldingS) != len(t.Profiles) {
+		return Setup{}, fmt.Errorf("settings: familyInfo.holdingS has %d values for %d classes",
+			len(t.FamilyInfo.HoldingS), len(t.Profiles))
+	}
+	for i, p := range t.Profiles {
+		c := decide.Class{
+			Hold: Seconds(t.FamilyInfo.HoldingS[i]), Width: 1, Aim: Seconds(p.AimS),
+			Deadline: Seconds(p.DeadlineS), Worth: p.Value, LateWorth: p.LateValue, Window: Seconds(p.WindowS),
+		}
+		if i < len(t.FamilyInfo.Widths) {
+			c.Width = Whole(t.FamilyInfo.Widths[i])
+		}
+		c.Repeat = map[string]decide.Repeat{"keyed": decide.RepeatKeyed, "unsafe": decide.RepeatUnsafe}[p.Repeat]
+		c.Scope = map[string]decide.KeyScope{"zone": decide.ScopeZone, "cell": decide.ScopeExchange}[p.KeyScope]
+		s.Classes = append(s.Classes, c)
+	}
+	for _, r := range t.Realms {
+		s.Tenants = append(s.Tenants, decide.Tenant{Share: r.Share, Quota: r.QuotaPerS})
+	}
+	if err := s.Validate(); err != nil {
+		return Setup{}, fmt.Errorf("settings: %w", err)
+	}
+	return Setup{Settings: s, Fields: t.Telemetry.Fields}, nil
+}
+
+// Seconds turns the wire's seconds into a duration of whole microseconds; out of range is cut off.
+func Seconds(s float64) time.Duration {
+	const limit = 1e9
+	if math.IsNaN(s) {
+		return 0
+	}
+	s = math.Max(-limit, math.Min(limit, s))
+	return time.Duration(math.Round(s*1e6)) * time.Microsecond
+}
+
+// Whole turns a number that should be whole into an int; what is not a number is decide.Unknown.
+func Whole(v float64) int {
+	if math.IsNaN(v) || math.Abs(v) > 1e9 {
+		return decide.Unknown
+	}
+	return int(math.Round(v))
+}
+
+// Report puts the values of a load report under their names; what is absent, negative or NaN is unknown.
+func Report(st Stats, names []string) decide.Report {
+	r := decide.NoReport
+	for i, name := range names {
+		if i >= int(st.N) {
+			break
+		}
+		v := float64(st.V[i])
+		if math.IsNaN(v) || math.IsInf(v, 0) || v < 0 {
+			continue
+		}
+		switch name {
+		case "idle":
+			r.Free = v
+		case "circuits":
+			r.Size = v
+		case "util":
+			r.Util = v
+		case "queue":
+			r.Queue = v
+		case "latency_ms":
+			r.Wait = v / 1000
+		case "max_rate":
+			r.MaxRate = v
+		case "reduce":
+			r.HoldBack = v
+		}
+	}
+	return r
+}
