--- a/decide/decide.go
+++ b/decide/decide.go
@@ -26,18 +26,16 @@
 	lastAnswer = 40 * time.Millisecond // no answer is left until later than this before the caller gives up
 	tick       = 20 * time.Millisecond // waiting calls are looked at this often, if nothing else happens
 
-	pressedShare = 0.3             // a processor that adds this share of an aim to a set-up is pressed
-	pressEvery   = time.Second     // a gate narrows once in this time: the news of one jam come in a bunch
-	narrowBy     = 0.7             // on slow answers and 'full'
-	shutBy       = 0.4             // on silence
-	widenBy      = 1.25            // on each good answer
-	trialRate    = 0.4             // set-ups a second that a gate always lets through, to see when it is over
-	openAt       = 2.0             // a gate this many times wider than the usual rate binds no more
-	gateDepth    = 2.0             // set-ups saved up at a gate
-	sightFor     = 3 * time.Second // an own latency sample counts this long
-	rateHalfLife = 15 * time.Second
-
-	worthySlack = 1.0 // set-ups that calls of the worthier half may take ahead of a gate's rate
+	waitHalfLife = 700 * time.Millisecond // a wait that nothing confirms is believed half as long after this
+	newest       = 0.6                    // weight of the newest wait against those before
+	easyShare    = 0.3                    // up to this share of an aim, an expected set-up time is no pressure
+	pressRange   = 0.5                    // over this further share, calls of mean worth are refused more and more
+	worthiest    = 2.5                    // worthier calls get up to this many times the range
+	trialGap     = 500 * time.Millisecond // first pause between trials of a pressed or silent far end, doubling
+	trialDoubles = 3                      // this often
+	coldDepth    = 2.0                    // set-ups saved up for a starting processor
+	rateHalfLife = 15 * time.Second       // of the usual rate of set-ups to a neighbour
+	worthHalf    = 100                    // calls offered after which the mean worth is half renewed
 )
 
 // Timer tokens.
@@ -57,17 +55,17 @@
 	far    map[int]*neighbour // by number; kept when a processor is replaced
 	order  []*neighbour       // by number, rising: the order of every walk
 
-	band    []int // of each class
-	bands   int
-	widest  int
-	minAim  time.Duration
-	meanVal float64
+	band   []int // of each class
+	bands  int
+	widest int
+	minAim time.Duration
 
 	waiting []*call // held calls: worthier first, then older
 	ticking bool
 	asks    int // failed asks for the list in a row
-	own     gate
 	tenants []bucket
+
+	meanWorth float64 // of calls offered
 }
 
 // exchange is one processor on the list.
@@ -88,9 +86,11 @@
 	offered    []float64 // decayed count of calls offered, by class
 	offeredAt  time.Duration
 	sent       []*call // set-ups out, oldest first
-	gate       gate
-	latency    time.Duration // of the last set-up that stood
-	sampledAt  time.Duration
+	load       load
+	quickest   time.Duration // the least time a set-up took
+	sets       float64       // decayed count of set-ups
+	setAt      time.Duration
+	part       bucket                // while its processor starts
 	turned     map[int]time.Duration // as a tandem: exchanges it turned calls to back, until when
 }
 
@@ -136,8 +136,8 @@
 	for i := range s.Classes {
 		c.widest = max(c.widest, s.Classes[i].Width)
 		c.minAim = min(c.minAim, s.Classes[i].Aim)
-		c.meanVal += s.Classes[i].Worth / float64(len(s.Classes))
 	}
+	c.meanWorth = s.Classes[0].Worth
 	return c
 }
 
@@ -188,7 +188,7 @@
 		c.passOn(k)
 		return
 	}
-	c.own.offer(c.now)
+	c.meanWorth += (k.worth - c.meanWorth) / worthHalf
 	c.route(k)
 }
 
@@ -359,20 +359,23 @@
 	}
 }
 
-// tryNow sends a call by the direct route or a tandem if either takes it now.
+// tryNow sends a call by the direct route or a tandem, or refuses it under pressure; false is neither.
 func (c *Controller) tryNow(k *call, to *neighbour) bool {
 	if c.usable(to) && c.mayGo(k, to.cur) {
 		if c.fitsDirect(to, k) {
-			if c.admit(k, to) {
+			if !c.lets(k, to) {
+				c.refuse(k) // every route ends at that processor
+			} else if !c.coldLets(to) {
+				return false
+			} else {
 				c.place(k, to, false)
-				return true
 			}
-			return false // the far end itself is pressed: a tandem would only add to it
+			return true
 		}
 	} else if !c.s.Pools {
 		return false // no processor there to end at
 	}
-	if c.bound(to) && !c.s.Pools || c.own.bound() {
+	if c.bound(to) && !c.s.Pools {
 		return false
 	}
 	for _, t := range c.tandems(k) {
@@ -424,7 +427,7 @@
 	}
 	c.fill(to, k)
 	to.sent = append(to.sent, k)
-	to.gate.count(c.now)
+	to.sets, to.setAt = to.sets*decay(c.now-to.setAt, rateHalfLife)+1, c.now
 	c.out = append(c.out, SetUp{Call: k.id, Exchange: to.cur.id, Timeout: timeout})
 }
 
@@ -463,8 +466,8 @@
 // passOn sends a call in transit to its destination at once, or turns it back.
 func (c *Controller) passOn(k *call) {
 	to := c.far[k.dest]
-	if to == nil || k.dest == c.s.Own || !c.usable(to) || !c.fitsTandem(to, k) || c.bound(to) ||
-		!c.admit(k, to) {
+	if to == nil || k.dest == c.s.Own || !c.usable(to) || !c.fitsTandem(to, k) || !c.lets(k, to) ||
+		!c.coldLets(to) {
 		c.refuse(k)
 		return
 	}
@@ -513,7 +516,7 @@
 // latest is the last moment at which sending a held call still makes sense.
 func (c *Controller) latest(k *call) time.Duration {
 	aim := c.s.Classes[k.class].Aim
-	at := k.arrived + time.Duration(holdShare*float64(aim)) - c.far[k.dest].latency
+	at := k.arrived + time.Duration(holdShare*float64(aim)) - c.far[k.dest].quickest
 	if k.attempts > 0 {
 		at = max(at, k.after+2*tick)
 	}
@@ -541,7 +544,9 @@
 		to := c.far[k.dest]
 		if k.after <= c.now && !passed[k.dest] {
 			if c.tryNow(k, to) {
-				c.unhold(k)
+				if k.held {
+					c.unhold(k)
+				}
 				continue
 			}
 			passed[k.dest] = true
@@ -619,8 +624,7 @@
 	}
 	for _, n := range c.order {
 		if b := best[n.number]; b != n.cur {
-			n.cur = b
-			n.latency = 0
+			n.cur, n.load = b, load{}
 		}
 	}
 }
@@ -645,149 +649,120 @@
 	return usual * (c.s.ColdFrom + (1-c.s.ColdFrom)*max(0, age))
 }
 
+// coldLets takes a set-up from a starting processor's part; others are not asked.
+func (c *Controller) coldLets(n *neighbour) bool {
+	return !c.cold(n.cur) || n.part.take(c.now, c.coldRate(n.cur, c.usual(n)), coldDepth)
+}
+
 // usual is the rate of set-ups to a neighbour in quiet times: as seen, or as its group's size suggests.
 func (c *Controller) usual(n *neighbour) float64 {
 	plan := max(1, n.size) / (2 * c.s.Classes[0].Hold.Seconds() * float64(c.s.Classes[0].Width))
-	return max(min(n.gate.rate(c.now), 2*plan), plan/2)
+	rate := n.sets * decay(c.now-n.setAt, rateHalfLife) * math.Ln2 / rateHalfLife.Seconds()
+	return max(min(rate, 2*plan), plan/2)
 }
 
-// ---- Guard: pressure. A gate narrows when a processor answers slowly, says 'full' or stays silent, and
-// widens with good answers; it always lets a few through. One for each far processor, one for the own.
-// Catches slow, hung, crashed, cut-off and jammed processors alike, with or without load reports. Harms when
-// a single slow answer was chance: then some calls wait for their turn.
-
-type gate struct {
-	limit   float64 // set-ups a second; 0 is open
-	tokens  bucket
-	count_  float64 // decayed count of set-ups
-	countAt time.Duration
-	pressAt time.Duration
-}
+// ---- Guard: pressure. What a set-up takes longer than the quickest one did is wait at the processors on the
+// way. The longer the wait expected, the more calls are refused early, less worthy ones first; beyond that
+// only spaced trials go. Catches slow, hung, crashed, cut-off and jammed processors alike, the own one too,
+// with or without load reports. Harms when a slow answer was chance: some calls are refused until the next.
 
-func (g *gate) count(now time.Duration) {
-	g.count_ = g.count_*decay(now-g.countAt, rateHalfLife) + 1
-	g.countAt = now
+// load is a belief about the wait on the way to a neighbour, in seconds.
+type load struct {
+	wait    float64
+	at      time.Duration
+	fails   int           // trials in a row without an answer
+	trialAt time.Duration // the next trial
 }
 
-func (g *gate) offer(now time.Duration) { g.count(now) }
+func (l *load) is(now time.Duration) float64 { return l.wait * decay(now-l.at, waitHalfLife) }
 
-// rate is the recent number a second.
-func (g *gate) rate(now time.Duration) float64 {
-	return g.count_ * decay(now-g.countAt, rateHalfLife) * math.Ln2 / rateHalfLife.Seconds()
+func (l *load) learn(now time.Duration, wait float64) {
+	l.wait, l.at = newest*wait+(1-newest)*l.is(now), now
 }
 
-func (g *gate) bound() bool { return g.limit > 0 }
+// atLeast raises the belief.
+func (l *load) atLeast(now time.Duration, wait float64) {
+	l.wait, l.at = max(wait, l.is(now)), now
+}
 
-// narrow cuts the gate, from what is let through now.
-func (g *gate) narrow(now time.Duration, by float64) {
-	if g.limit > 0 && now < g.pressAt+pressEvery {
-		return
-	}
-	from := g.limit
-	if from == 0 {
-		from = g.rate(now)
-		g.tokens = bucket{0, now}
+// expected is the time a set-up to a neighbour would take now, in seconds: as the last ones did, at least as
+// long as the oldest one out has waited, and at least what the own processor adds to all.
+func (c *Controller) expected(n *neighbour) float64 {
+	wait := max(n.load.is(c.now), c.ownWait())
+	if len(n.sent) > 0 {
+		wait = max(wait, (c.now - n.sent[0].sentAt - n.quickest).Seconds())
 	}
-	g.limit, g.pressAt = max(trialRate, from*by), now
+	return n.quickest.Seconds() + wait
 }
 
-// widen opens the gate a little; wide enough, it binds no more.
-func (g *gate) widen(now time.Duration, usual float64) {
-	if g.limit > 0 {
-		if g.limit *= widenBy; g.limit > openAt*max(usual, trialRate) {
-			g.limit = 0
+// ownWait is the least wait seen lately to any neighbour: what all share is at the own processor.
+func (c *Controller) ownWait() float64 {
+	least, seen := math.Inf(1), 0
+	for _, n := range c.order {
+		if n.load.at > 0 && c.now-n.load.at < 2*waitHalfLife {
+			least = min(least, n.load.is(c.now))
+			seen++
 		}
 	}
+	if seen < 2 {
+		return 0
+	}
+	return least
 }
 
-// take lets a set-up through if the rate has room; worthier calls may run a little ahead.
-func (b *bucket) take(now time.Duration, rate, depth, slack float64) bool {
-	b.level = min(depth, b.level+rate*(now-b.at).Seconds())
-	b.at = now
-	if b.level+slack < 1 {
-		return false
-	}
-	b.level--
-	return true
+// pressed tells how hard a route presses: 0 is not at all, at 1 and above only trials go.
+func (c *Controller) pressed(n *neighbour, aim time.Duration, worth float64) float64 {
+	x := c.expected(n)/aim.Seconds() - easyShare
+	return x / (pressRange * min(worthiest, max(1, worth/c.meanWorth)))
 }
 
 // bound tells whether a neighbour's processor is under pressure or starting.
 func (c *Controller) bound(n *neighbour) bool {
-	return n.gate.bound() || c.cold(n.cur)
+	return c.cold(n.cur) || c.pressed(n, c.minAim, 0) > 0
 }
 
-// admit asks the gates on a call's way for a set-up.
-func (c *Controller) admit(k *call, to *neighbour) bool {
-	slack := 0.0
-	if k.worth > c.meanVal {
-		slack = worthySlack
-	}
-	c.watchSilence(to)
-	rate := to.gate.limit
-	if c.cold(to.cur) {
-		if r := c.coldRate(to.cur, c.usual(to)); rate == 0 || r < rate {
-			rate = r
-		}
-	}
-	if rate > 0 && !to.gate.tokens.take(c.now, rate, gateDepth, slack) {
-		return false
+// lets decides whether pressure lets a call through to its destination.
+func (c *Controller) lets(k *call, to *neighbour) bool {
+	p := c.pressed(to, c.s.Classes[k.class].Aim, k.worth)
+	if p <= 0 || p < 1 && float64(c.jitter(time.Second)) >= p*float64(time.Second) {
+		return true
 	}
-	if c.own.bound() && !c.own.tokens.take(c.now, c.own.limit, gateDepth, slack) {
+	if c.now < to.load.trialAt {
 		return false
 	}
+	to.load.trialAt = c.now + trialGap<<min(to.load.fails, trialDoubles)
 	return true
 }
 
-// watchSilence narrows a gate when a set-up has been out for long without an answer.
-func (c *Controller) watchSilence(n *neighbour) {
-	if len(n.sent) > 0 && c.now-n.sent[0].sentAt > c.minAim/2 {
-		n.gate.narrow(c.now, narrowBy)
-	}
-}
-
-// answered judges the processors by the time a set-up took: what all neighbours show is the own one's.
+// answered learns from a set-up that stood.
 func (c *Controller) answered(n *neighbour, took time.Duration) {
-	n.latency, n.sampledAt = took, c.now
-	least := took
-	seen := 0
-	for _, o := range c.order {
-		if o.sampledAt > 0 && c.now-o.sampledAt < sightFor {
-			least = min(least, o.latency)
-			seen++
-		}
-	}
-	target := time.Duration(pressedShare * float64(c.minAim))
-	if took-least > target {
-		n.gate.narrow(c.now, narrowBy)
-	} else {
-		n.gate.widen(c.now, c.usual(n))
-	}
-	if least > target && seen > 1 {
-		c.own.narrow(c.now, narrowBy)
-	} else {
-		c.own.widen(c.now, c.own.rate(c.now))
+	if n.quickest == 0 || took < n.quickest {
+		n.quickest = took
 	}
+	n.load.learn(c.now, (took - n.quickest).Seconds())
+	n.load.fails = 0
 }
 
 // judge learns from an attempt that did not stand.
 func (c *Controller) judge(to *neighbour, k *call, e Ended) {
-	dest := c.far[k.dest]
+	end := to
+	if k.isTandem {
+		if end = c.far[k.dest]; end == nil {
+			return
+		}
+	}
 	switch {
 	case e.Outcome == NotSent && e.Cause == NoCircuit:
-		if to.free > 0 {
-			to.free = 0
-		}
-	case k.isTandem && e.Outcome == Full && e.Cause != ProcessorFull:
-		to.turned[k.dest] = c.now + turnedFor
-		if e.Cause == TurnedBackFull && dest != nil {
-			dest.gate.narrow(c.now, narrowBy)
-		}
+		to.free = min(to.free, 0)
+	case e.Cause == TurnedBackFull, e.Outcome == Full && e.Cause == ProcessorFull && !k.isTandem:
+		end.load.atLeast(c.now, c.minAim.Seconds())
 	case e.Outcome == Full && e.Cause == ProcessorFull:
-		to.gate.narrow(c.now, narrowBy)
-	case k.isTandem && e.Outcome == TimedOut:
+		to.load.atLeast(c.now, c.minAim.Seconds())
+	case k.isTandem && (e.Outcome == Full || e.Outcome == TimedOut):
 		to.turned[k.dest] = c.now + turnedFor
 	case e.Outcome == TimedOut, e.Outcome == Unreachable:
-		to.gate.narrow(c.now, shutBy)
+		to.load.atLeast(c.now, c.minAim.Seconds())
+		to.load.fails++
 	}
 }
 
@@ -889,7 +864,7 @@
 		return 1
 	}
 	rate := c.s.Tenants[e.Tenant].Quota / float64(c.s.Proxies)
-	if c.tenants[e.Tenant].take(c.now, rate, max(2, 3*rate), 0) {
+	if c.tenants[e.Tenant].take(c.now, rate, max(2, 3*rate)) {
 		return 1
 	}
 	return c.s.OverShareWorth
@@ -900,6 +875,17 @@
 	return slices.Contains(c.s.ClassPools[class], pool)
 }
 
+// take takes one from the budget if it holds one.
+func (b *bucket) take(now time.Duration, rate, depth float64) bool {
+	b.level = min(depth, b.level+rate*(now-b.at).Seconds())
+	b.at = now
+	if b.level < 1 {
+		return false
+	}
+	b.level--
+	return true
+}
+
 func mayHaveRun(o Outcome) bool {
 	return o != Full && o != Unreachable && o != NotSent
 }
