--- a/decide/decide.go
+++ b/decide/decide.go
@@ -26,16 +26,17 @@
 	lastAnswer = 40 * time.Millisecond // no answer is left until later than this before the caller gives up
 	tick       = 20 * time.Millisecond // waiting calls are looked at this often, if nothing else happens
 
-	waitHalfLife = 700 * time.Millisecond // a wait that nothing confirms is believed half as long after this
-	newest       = 0.6                    // weight of the newest wait against those before
-	easyShare    = 0.3                    // up to this share of an aim, an expected set-up time is no pressure
-	pressRange   = 0.5                    // over this further share, calls of mean worth are refused more and more
-	worthiest    = 2.5                    // worthier calls get up to this many times the range
-	trialGap     = 500 * time.Millisecond // first pause between trials of a pressed or silent far end, doubling
-	trialDoubles = 3                      // this often
-	coldDepth    = 2.0                    // set-ups saved up for a starting processor
-	rateHalfLife = 15 * time.Second       // of the usual rate of set-ups to a neighbour
-	worthHalf    = 100                    // calls offered after which the mean worth is half renewed
+	waitHalfLife = 2500 * time.Millisecond // a wait that nothing confirms is believed half as long after this
+	sightFor     = 1500 * time.Millisecond // what this many seconds ago showed of the own processor counts
+	newest       = 0.6                     // weight of the newest wait against those before
+	easyShare    = 0.3                     // up to this share of an aim, an expected set-up time is no pressure
+	pressRange   = 0.5                     // over this further share, calls of mean worth are refused more and more
+	worthiest    = 2.5                     // worthier calls get up to this many times the range
+	trialGap     = 500 * time.Millisecond  // first pause between trials of a pressed or silent far end, doubling
+	trialDoubles = 3                       // this often
+	coldDepth    = 2.0                     // set-ups saved up for a starting processor
+	rateHalfLife = 15 * time.Second        // of the usual rate of set-ups to a neighbour
+	worthHalf    = 100                     // calls offered after which the mean worth is half renewed
 )
 
 // Timer tokens.
@@ -699,7 +700,7 @@
 func (c *Controller) ownWait() float64 {
 	least, seen := math.Inf(1), 0
 	for _, n := range c.order {
-		if n.load.at > 0 && c.now-n.load.at < 2*waitHalfLife {
+		if n.load.at > 0 && c.now-n.load.at < sightFor {
 			least = min(least, n.load.is(c.now))
 			seen++
 		}
