--- a/decide/decide.go
+++ b/decide/decide.go
@@ -19,7 +19,7 @@
 
 	reserveRoot = 0.35 // transit floor, in square roots of a group's circuits, over one widest call
 	tandemWait  = 0.55 // time-out of a tandem attempt, in aims: leaves room for another route
-	turnedFor   = time.Second
+	turnedFor   = 3 * time.Second
 	// A tandem that turned a call back for want of room is passed over for that exchange this long.
 
 	holdShare  = 0.85                  // a held call is sent by this share of its aim, or refused
