--- a/decide/api.go
+++ b/decide/api.go
@@ -82,6 +82,7 @@
 	MaxAttempts    int
 
 	Probing, Peers, Cancel, RetryAfter, Subscribe bool
+	MarksRedial                                   bool // callers mark further tries
 	Reports                                       Reporting
 
 	MaxStayAway  time.Duration // longest stay-away that callers observe
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -36,6 +36,7 @@
 	trialDoubles = 3                       // this often
 	coldDepth    = 2.0                     // set-ups saved up for a starting processor
 	rateHalfLife = 15 * time.Second        // of the usual rate of set-ups to a neighbour
+	triesKept    = 4096                    // first tries remembered, a bound on memory
 	worthHalf    = 100                     // calls offered after which the mean worth is half renewed
 )
 
@@ -65,6 +66,7 @@
 	ticking bool
 	asks    int // failed asks for the list in a row
 	tenants []bucket
+	tries   map[uint64]time.Duration // first tries of calls turned away, by number called
 
 	meanWorth float64 // of calls offered
 }
@@ -105,7 +107,7 @@
 	transit  bool
 	worth    float64
 	arrived  time.Duration
-	aimAt    time.Duration
+	first    time.Duration // when its caller tried first, as far as known
 	deadline time.Duration
 	attempts int
 	direct   bool         // the direct route was tried
@@ -131,7 +133,7 @@
 
 // New returns the controller of one instance; seed feeds its random choices.
 func New(s Settings, seed uint64) *Controller {
-	c := &Controller{s: s, rng: seed, calls: map[CallID]*call{}, listed: map[ExchangeID]*exchange{},
+	c := &Controller{s: s, rng: seed, calls: map[CallID]*call{}, tries: map[uint64]time.Duration{}, listed: map[ExchangeID]*exchange{},
 		far: map[int]*neighbour{}, tenants: make([]bucket, len(s.Tenants)), minAim: math.MaxInt64}
 	c.band, c.bands = holdBands(s.Classes)
 	for i := range s.Classes {
@@ -175,13 +177,19 @@
 		class = 0
 	}
 	cl := &c.s.Classes[class]
-	k := &call{id: e.Call, class: class, width: e.Width, dest: e.Dest, number: e.Number, transit: e.Transit,
-		arrived: c.now, aimAt: c.now + cl.Aim, deadline: c.now + e.Patience, worth: cl.Worth}
+	k := &call{first: c.now, id: e.Call, class: class, width: e.Width, dest: e.Dest, number: e.Number, transit: e.Transit,
+		arrived: c.now, deadline: c.now + e.Patience, worth: cl.Worth}
 	if k.width < 1 {
 		k.width = cl.Width
 	}
 	k.worth *= c.shareWorth(e)
 	c.calls[k.id] = k
+	if first, again := c.tries[k.number]; again && !k.transit && (e.Redial || !c.s.MarksRedial) {
+		k.first = first
+	}
+	if k.late(c.now, cl.Aim) && !e.WasCut {
+		k.worth *= cl.LateWorth
+	}
 	if to := c.far[k.dest]; to != nil {
 		c.countOffered(to, class)
 	}
@@ -822,6 +830,7 @@
 		c.unhold(k)
 	}
 	delete(c.calls, k.id)
+	c.remember(k)
 	if !c.mayRefuse(k) || c.now >= k.deadline {
 		c.out = append(c.out, Fail{k.id})
 		return
@@ -833,6 +842,20 @@
 	c.out = append(c.out, Refuse{k.id, away})
 }
 
+// late tells whether a call can no longer stand within its aim, counted from its caller's first try.
+func (k *call) late(now, aim time.Duration) bool { return now-k.first >= aim }
+
+// remember keeps the time of the first try of a call that was turned away, for when its caller dials again.
+func (c *Controller) remember(k *call) {
+	if k.transit || k.number == 0 {
+		return
+	}
+	if len(c.tries) >= triesKept {
+		clear(c.tries) // forgetting only makes redials look new
+	}
+	c.tries[k.number] = k.first
+}
+
 // close ends a call whose caller is gone or answered; an attempt that is out stays on the books.
 func (c *Controller) close(k *call) {
 	k.closed = true
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -16,6 +16,9 @@
 }
 
 type settingsText struct {
+	Clients struct {
+		MarksRetry bool
+	}
 	Contract struct {
 		AnswerSlackS, ColdFrom, ColdS, DrainGraceS, FallMultiple, FallS, MustAskInS float64
 	}
@@ -62,7 +65,7 @@
 		OverShareWorth: t.OverShareWorth, MaxAttempts: max(t.Limits.MaxAttempts, 1),
 		Probing: t.Limits.Probing, Peers: t.Limits.Peers, Cancel: t.Limits.Cancel,
 		RetryAfter: t.Limits.RetryAfter, Subscribe: t.Discovery == "subscribe",
-		MaxStayAway:  Seconds(t.Limits.MaxRetryAfterS),
+		MarksRedial: t.Clients.MarksRetry, MaxStayAway: Seconds(t.Limits.MaxRetryAfterS),
 		ReleaseGuard: Seconds(t.FamilyInfo.ReleaseGuardS), ResendAfter: Seconds(t.FamilyInfo.ResendS),
 		AnswerSlack: Seconds(t.Contract.AnswerSlackS), DrainGrace: Seconds(t.Contract.DrainGraceS),
 		MustAskIn: Seconds(t.Contract.MustAskInS), ColdFrom: t.Contract.ColdFrom,
