--- a/decide/decide.go
+++ b/decide/decide.go
@@ -193,6 +193,10 @@
 	if to := c.far[k.dest]; to != nil {
 		c.countOffered(to, class)
 	}
+	if e.Patience < lastAnswer { // it waited out its time on the way here: only an answer at once is in time
+		c.refuse(k)
+		return
+	}
 	if k.transit {
 		c.passOn(k)
 		return
@@ -249,7 +253,7 @@
 	switch {
 	case k.transit, e.Outcome == Busy && e.Cause == LinesBusy:
 		c.refuse(k)
-	case e.Outcome == NotSent && e.Cause == ProcessorFull: // the own processor is down
+	case e.Outcome == NotSent && e.Cause != NoCircuit: // the own processor is down, or the time is up
 		c.refuse(k)
 	case e.Outcome == Busy && !k.isTandem && k.attempts == 1: // a signalling fault: once more
 		k.direct = false
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -508,3 +508,35 @@
 		t.Fatal("a failed call must be repeated in time")
 	}
 }
+
+// A call may be handed over with no time left; it was lost once while its set-ups came back unsent.
+func TestCallWithoutTimeIsAnsweredAtOnce(t *testing.T) {
+	for _, patience := range []time.Duration{-time.Second, 0, 10 * ms} {
+		r := newRig(t, settings())
+		acts := r.offer(1, 2, func(o *Offer) { o.Patience = patience })
+		if sent(acts) != Unknown || r.answered[1] != 1 {
+			t.Errorf("patience %v: %v, want an answer at once", patience, acts)
+		}
+	}
+}
+
+// A redial past its aim yields to a new call for the same circuit.
+func TestLateRedialYields(t *testing.T) {
+	s := settings()
+	s.Classes[0].LateWorth = 0.25
+	r := newRig(t, s)
+	for _, n := range []int{1, 2, 3} {
+		r.free(n, 0, 40)
+	}
+	number := func(n uint64) func(*Offer) { return func(o *Offer) { o.Number = n } }
+	r.offer(1, 2, number(77))
+	if acts := r.run(1500 * ms); !refused(acts) {
+		t.Fatal("no circuit came: refused")
+	}
+	r.offer(2, 2, number(77))
+	r.offer(3, 2, number(78))
+	r.free(2, 1, 40)
+	if r.attempts[3] != 1 || r.attempts[2] != 0 {
+		t.Fatalf("attempts of the redial %d, of the new call %d", r.attempts[2], r.attempts[3])
+	}
+}
