--- a/decide/decide.go
+++ b/decide/decide.go
@@ -33,6 +33,7 @@
 	pressRange   = 0.5                     // over this further share, calls of mean worth are refused more and more
 	worthiest    = 2.5                     // worthier calls get up to this many times the range
 	trialGap     = 500 * time.Millisecond  // first pause between trials of a pressed or silent far end, doubling
+	trialAny     = 250 * time.Millisecond  // pause between trials of any kind: the own processor may be the jam
 	trialDoubles = 3                       // this often
 	coldDepth    = 2.0                     // set-ups saved up for a starting processor
 	rateHalfLife = 15 * time.Second        // of the usual rate of set-ups to a neighbour
@@ -68,7 +69,8 @@
 	tenants []bucket
 	tries   map[uint64]time.Duration // first tries of calls turned away, by number called
 
-	meanWorth float64 // of calls offered
+	meanWorth float64       // of calls offered
+	trialAt   time.Duration // the next trial of any far end
 }
 
 // exchange is one processor on the list.
@@ -740,10 +742,10 @@
 	if p <= 0 || p < 1 && float64(c.jitter(time.Second)) >= p*float64(time.Second) {
 		return true
 	}
-	if c.now < to.load.trialAt {
+	if c.now < max(to.load.trialAt, c.trialAt) {
 		return false
 	}
-	to.load.trialAt = c.now + trialGap<<min(to.load.fails, trialDoubles)
+	to.load.trialAt, c.trialAt = c.now+trialGap<<min(to.load.fails, trialDoubles), c.now+trialAny
 	return true
 }
 
