--- a/decide/decide.go
+++ b/decide/decide.go
@@ -19,7 +19,7 @@
 
 	reserveRoot = 0.35 // transit floor, in square roots of a group's circuits, over one widest call
 	tandemWait  = 0.55 // time-out of a tandem attempt, in aims: leaves room for another route
-	directWait  = 1.2  // time-out of a direct attempt, in aims: later answers earn little, resends cost work
+	directWait  = 1.2  // time-out of a direct attempt where set-ups are not resent, in aims
 	turnedFor   = 3 * time.Second
 	// A tandem that turned a call back for want of room is passed over for that exchange this long.
 
@@ -440,7 +440,9 @@
 		timeout = min(k.deadline-c.now, time.Duration(tandemWait*float64(c.s.Classes[k.class].Aim)))
 	} else {
 		k.direct = true
-		timeout = min(k.deadline-c.now, time.Duration(directWait*float64(c.s.Classes[k.class].Aim)))
+		if c.s.ResendAfter == 0 { // a set-up lost on the way stays lost: waiting on cannot help
+			timeout = min(k.deadline-c.now, time.Duration(directWait*float64(c.s.Classes[k.class].Aim)))
+		}
 	}
 	c.fill(to, k)
 	to.sent = append(to.sent, k)
