--- a/decide/decide.go
+++ b/decide/decide.go
@@ -33,6 +33,7 @@
 	easyShare    = 0.3                     // up to this share of an aim, an expected set-up time is no pressure
 	pressRange   = 0.5                     // over this further share, calls of mean worth are refused more and more
 	worthiest    = 2.5                     // worthier calls get up to this many times the range
+	fullWait     = 1.5                     // the least wait behind a 'full', in aims: it is worse than late
 	trialGap     = 500 * time.Millisecond  // first pause between trials of a pressed or silent far end, doubling
 	trialAny     = 250 * time.Millisecond  // pause between trials of any kind: the own processor may be the jam
 	trialDoubles = 3                       // this often
@@ -774,13 +775,13 @@
 	case e.Outcome == NotSent && e.Cause == NoCircuit:
 		to.free = min(to.free, 0)
 	case e.Cause == TurnedBackFull, e.Outcome == Full && e.Cause == ProcessorFull && !k.isTandem:
-		end.load.atLeast(c.now, c.minAim.Seconds())
+		end.load.atLeast(c.now, fullWait*c.minAim.Seconds())
 	case e.Outcome == Full && e.Cause == ProcessorFull:
-		to.load.atLeast(c.now, c.minAim.Seconds())
+		to.load.atLeast(c.now, fullWait*c.minAim.Seconds())
 	case k.isTandem && (e.Outcome == Full || e.Outcome == TimedOut):
 		to.turned[k.dest] = c.now + turnedFor
 	case e.Outcome == TimedOut, e.Outcome == Unreachable:
-		to.load.atLeast(c.now, c.minAim.Seconds())
+		to.load.atLeast(c.now, max(c.minAim, e.Took).Seconds())
 		to.load.fails++
 	}
 }
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -540,3 +540,111 @@
 		t.Fatalf("attempts of the redial %d, of the new call %d", r.attempts[2], r.attempts[3])
 	}
 }
+
+// timeoutOf is the time-out of the first set-up among actions.
+func timeoutOf(acts []Action) time.Duration {
+	for _, a := range acts {
+		if s, ok := a.(SetUp); ok {
+			return s.Timeout
+		}
+	}
+	return -1
+}
+
+// Where lost set-ups are not resent, waiting out the caller's patience cannot help.
+func TestTimeOutsLeaveRoom(t *testing.T) {
+	s := settings()
+	for _, tc := range []struct {
+		resend time.Duration
+		want   time.Duration
+	}{{0, 1200 * ms}, {500 * ms, 0}} {
+		s.ResendAfter = tc.resend
+		r := newRig(t, s)
+		if got := timeoutOf(r.offer(1, 2)); got != tc.want {
+			t.Errorf("resend after %v: direct time-out %v, want %v", tc.resend, got, tc.want)
+		}
+		r.free(2, 0, 40)
+		if got := timeoutOf(r.offer(2, 2)); got <= 0 || got >= time.Second {
+			t.Errorf("resend after %v: tandem time-out %v, want room within the aim", tc.resend, got)
+		}
+	}
+}
+
+// A far end that answers nothing gets spaced trials only, and its traffic back with the first answer.
+func TestSilentFarEndGetsTrialsOnly(t *testing.T) {
+	r := newRig(t, settings())
+	r.offer(1, 2)
+	r.stand(1, 2, 20*ms)
+	r.run(100 * ms)
+	call := CallID(1)
+	tries := func(d time.Duration) (n int) {
+		for end := r.now + d; r.now < end; r.run(50 * ms) {
+			r.free(2, 30, 40)
+			call++
+			if sent(r.offer(call, 2)) == 2 {
+				n++
+			}
+		}
+		return n
+	}
+	tries(2 * time.Second)
+	n := tries(4 * time.Second)
+	if n == 0 || n > 12 {
+		t.Fatalf("%d of 80 set-ups in 4 s to a silent far end, want a few trials", n)
+	}
+	for k := CallID(2); k <= call; k++ {
+		if r.out[k] {
+			r.stand(k, 2, 20*ms)
+		}
+	}
+	for i := 0; i < 4; i++ {
+		r.run(time.Second)
+		r.free(2, 30, 40)
+		call++
+		if sent(r.offer(call, 2)) == 2 {
+			r.stand(call, 2, 20*ms)
+		}
+	}
+	if n = tries(200 * ms); n != 4 {
+		t.Fatalf("%d of 4 set-ups after the far end answers again", n)
+	}
+}
+
+// With every far end pressed the own processor is the jam: trials together stay few.
+func TestTrialsTogetherStayFew(t *testing.T) {
+	r := newRig(t, settings())
+	call := CallID(0)
+	for i := 0; i < 6; i++ {
+		for n := 1; n < 4; n++ {
+			call++
+			r.offer(call, n)
+			r.stand(call, n, 20*ms+time.Duration(min(i, 1))*2*time.Second)
+		}
+	}
+	n := 0
+	for i := 0; i < 100; i++ {
+		call++
+		if sent(r.offer(call, 1+i%3)) != Unknown {
+			n++
+		}
+		r.run(10 * ms)
+	}
+	if n > 6 {
+		t.Fatalf("%d set-ups in a second through a jammed own processor", n)
+	}
+}
+
+// A tandem that turned a call back is passed over for that exchange for a while.
+func TestTurnedBackTandemIsPassedOver(t *testing.T) {
+	r := newRig(t, settings())
+	r.free(2, 0, 40)
+	first := sent(r.offer(1, 2))
+	r.end(1, first, Full, TurnedBack)
+	if got := sent(r.offer(2, 2)); got != 4-first {
+		t.Fatalf("next call went to %d, want the other tandem %d", got, 4-first)
+	}
+	r.run(4 * time.Second)
+	if got := sent(r.offer(3, 2)); got != first {
+		t.Fatalf("later the pair's first tandem is tried again, went to %d", got)
+	}
+}
