--- a/decide/decide.go
+++ b/decide/decide.go
@@ -32,7 +32,8 @@
 	newest       = 0.6                     // weight of the newest wait against those before
 	easyShare    = 0.3                     // up to this share of an aim, an expected set-up time is no pressure
 	pressRange   = 0.5                     // over this further share, calls of mean worth are refused more and more
-	worthiest    = 2.5                     // worthier calls get up to this many times the range
+	leastRange   = 0.4                     // calls of little worth, late redials too, get at least this part of it
+	worthiest    = 2.5                     // and worthier calls up to this many times
 	fullWait     = 1.5                     // the least wait behind a 'full', in aims: it is worse than late
 	trialGap     = 500 * time.Millisecond  // first pause between trials of a pressed or silent far end, doubling
 	trialAny     = 250 * time.Millisecond  // pause between trials of any kind: the own processor may be the jam
@@ -733,7 +734,7 @@
 // pressed tells how hard a route presses: 0 is not at all, at 1 and above only trials go.
 func (c *Controller) pressed(n *neighbour, aim time.Duration, worth float64) float64 {
 	x := c.expected(n)/aim.Seconds() - easyShare
-	return x / (pressRange * min(worthiest, max(1, worth/c.meanWorth)))
+	return x / (pressRange * min(worthiest, max(leastRange, worth/c.meanWorth)))
 }
 
 // bound tells whether a neighbour's processor is under pressure or starting.
