--- a/decide/decide.go
+++ b/decide/decide.go
@@ -18,6 +18,7 @@
 	maxTandems         = 2                // tandems tried for one call, as in the design
 
 	reserveRoot = 0.35 // transit floor, in square roots of a group's circuits, over one widest call
+	minorShare  = 0.5  // a call worth less than this part of its class's worth is a minor one
 	tandemWait  = 0.55 // time-out of a tandem attempt, in aims: leaves room for another route
 	directWait  = 1.2  // time-out of a direct attempt where set-ups are not resent, in aims
 	turnedFor   = 3 * time.Second
@@ -342,7 +343,7 @@
 		return true // not told yet
 	}
 	w := float64(k.width)
-	if n.free < w {
+	if n.free < w || c.minor(k) && !c.fitsTandem(n, k) {
 		return false
 	}
 	if c.bands == 1 || n.free >= float64(c.widest)+c.reserve(n) {
@@ -355,6 +356,10 @@
 	return math.Min(room, n.free) >= w
 }
 
+// minor tells whether a call is worth so little that it stays off last circuits and tandems. Exception to the
+// design: acts on late redials and calls over their tenant's share, near a full group only.
+func (c *Controller) minor(k *call) bool { return k.worth < minorShare*c.s.Classes[k.class].Worth }
+
 // reserve is the number of a group's last circuits that transit and tandem legs stay off.
 func (c *Controller) reserve(n *neighbour) float64 {
 	return float64(c.widest) + math.Floor(reserveRoot*math.Sqrt(max(0, n.size)))
@@ -393,7 +398,7 @@
 	} else if !c.s.Pools {
 		return false // no processor there to end at
 	}
-	if c.bound(to) && !c.s.Pools {
+	if c.bound(to) && !c.s.Pools || c.minor(k) {
 		return false
 	}
 	for _, t := range c.tandems(k) {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -212,7 +212,7 @@
 	n := c.neighbour(1)
 	n.size, n.free, n.offered = 50, 30, []float64{4, 4}
 	n.used = []float64{10, 10}
-	short, long := &call{width: 1}, &call{width: 1, class: 1}
+	short, long := &call{width: 1, worth: 1}, &call{width: 1, class: 1, worth: 1}
 	if !c.fitsDirect(n, short) {
 		t.Error("with plenty free, a short call goes although its band is full")
 	}
@@ -648,3 +648,27 @@
 		t.Fatalf("later the pair's first tandem is tried again, went to %d", got)
 	}
 }
+
+// A redial past its aim stays off the last circuits of its direct group and off tandems.
+func TestMinorCallsStayOffLastCircuitsAndTandems(t *testing.T) {
+	s := settings()
+	s.Classes[0].LateWorth = 0.25
+	again := func(o *Offer) { o.Number = 5 }
+	r := newRig(t, s)
+	for n := 1; n < 4; n++ {
+		r.free(n, 0, 40)
+	}
+	r.offer(1, 2, again)
+	r.run(1500 * ms)
+	r.free(1, 30, 40)
+	r.free(2, 2, 40)
+	if got := sent(r.offer(2, 2, again)); got != Unknown {
+		t.Fatalf("a late redial went to %d by last circuits or a tandem", got)
+	}
+	if got := sent(r.offer(3, 2)); got != 2 {
+		t.Fatalf("a new call may take them, went to %d", got)
+	}
+	if got := sent(r.free(2, 20, 40)); got != 2 {
+		t.Fatalf("with room the late redial goes direct, went to %d", got)
+	}
+}
