--- a/decide/decide.go
+++ b/decide/decide.go
@@ -126,6 +126,7 @@
 	after    time.Duration // not sent again before this
 	closed   bool          // no answer is owed
 	standing bool
+	over     bool
 	held     bool
 	ranAt    *exchange // where it may have run first, nil if nowhere
 	ranSent  time.Duration
@@ -188,8 +189,11 @@
 	if k.width < 1 {
 		k.width = cl.Width
 	}
-	k.worth *= c.shareWorth(e)
+	k.over = c.shareWorth(e) < 1
 	c.calls[k.id] = k
+	if k.over {
+		k.worth *= (1 + c.s.OverShareWorth) / 2
+	}
 	if first, again := c.tries[k.number]; again && !k.transit && (e.Redial || !c.s.MarksRedial) {
 		k.first = first
 	}
