--- a/decide/decide.go
+++ b/decide/decide.go
@@ -126,7 +126,6 @@
 	after    time.Duration // not sent again before this
 	closed   bool          // no answer is owed
 	standing bool
-	over     bool
 	held     bool
 	ranAt    *exchange // where it may have run first, nil if nowhere
 	ranSent  time.Duration
@@ -189,11 +188,8 @@
 	if k.width < 1 {
 		k.width = cl.Width
 	}
-	k.over = c.shareWorth(e) < 1
 	c.calls[k.id] = k
-	if k.over {
-		k.worth *= (1 + c.s.OverShareWorth) / 2
-	}
+	k.worth *= c.shareWorth(e)
 	if first, again := c.tries[k.number]; again && !k.transit && (e.Redial || !c.s.MarksRedial) {
 		k.first = first
 	}
@@ -902,8 +898,8 @@
 	}
 }
 
-// shareWorth is the part of its class's worth that a call has: little beyond its tenant's share. The
-// tenant's quota is taken to come evenly over the proxies.
+// shareWorth is the part of its class's worth that a call has: less beyond its tenant's share. One proxy sees
+// only its own part of a tenant's calls, taken as even over the proxies, so its word counts half.
 func (c *Controller) shareWorth(e Offer) float64 {
 	if e.Tenant < 0 || e.Tenant >= len(c.tenants) || c.s.Tenants[e.Tenant].Quota <= 0 || e.Transit {
 		return 1
@@ -912,7 +908,7 @@
 	if c.tenants[e.Tenant].take(c.now, rate, max(2, 3*rate)) {
 		return 1
 	}
-	return c.s.OverShareWorth
+	return (1 + c.s.OverShareWorth) / 2
 }
 
 // skilled tells whether a class may go to a pool.
