--- a/decide/decide.go
+++ b/decide/decide.go
@@ -31,7 +31,7 @@
 	waitHalfLife = 2500 * time.Millisecond // a wait that nothing confirms is believed half as long after this
 	sightFor     = 1500 * time.Millisecond // what this many seconds ago showed of the own processor counts
 	newest       = 0.6                     // weight of the newest wait against those before
-	easyShare    = 0.2                     // up to this share of an aim, an expected set-up time is no pressure
+	easyShare    = 0.15                     // up to this share of an aim, an expected set-up time is no pressure
 	pressRange   = 0.5                     // over this further share, calls of mean worth are refused more and more
 	leastRange   = 0.4                     // calls of little worth, late redials too, get at least this part of it
 	worthiest    = 2.5                     // and worthier calls up to this many times
