--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1,4 +1,4 @@
-// The interface of this module is decide/api.go; all decisions are here.
+// The interface of this module is decide/api.go; all decisions are here, state and arithmetic in decide/state.go.
 //
 // Order: constants, state, the events, the ordinary path (bands, direct, tandems), transit, waiting calls,
 // then the guards (list, cold start, pressure, repeats), and small helpers last.
@@ -7,7 +7,6 @@
 
 import (
 	"math"
-	"math/bits"
 	"slices"
 	"time"
 )
@@ -31,13 +30,13 @@
 	waitHalfLife = 2500 * time.Millisecond // a wait that nothing confirms is believed half as long after this
 	sightFor     = 1500 * time.Millisecond // what this many seconds ago showed of the own processor counts
 	newest       = 0.6                     // weight of the newest wait against those before
-	easyShare    = 0.15                     // up to this share of an aim, an expected set-up time is no pressure
-	pressRange   = 0.5                     // over this further share, calls of mean worth are refused more and more
-	leastRange   = 0.4                     // calls of little worth, late redials too, get at least this part of it
+	easyShare    = 0.15                    // an expected set-up time of this share of an aim is no pressure
+	pressRange   = 0.5                     // over this further share more and more calls are refused
+	leastRange   = 0.4                     // calls of little worth get at least this part of it
 	worthiest    = 2.5                     // and worthier calls up to this many times
 	fullWait     = 1.5                     // the least wait behind a 'full', in aims: it is worse than late
-	trialGap     = 500 * time.Millisecond  // first pause between trials of a pressed or silent far end, doubling
-	trialAny     = 250 * time.Millisecond  // pause between trials of any kind: the own processor may be the jam
+	trialGap     = 500 * time.Millisecond  // first pause between trials of a pressed far end, doubling
+	trialAny     = 250 * time.Millisecond  // between any trials: the own processor may be the jam
 	trialDoubles = 3                       // this often
 	coldDepth    = 2.0                     // set-ups saved up for a starting processor
 	rateHalfLife = 15 * time.Second        // of the usual rate of set-ups to a neighbour
@@ -51,96 +50,11 @@
 	tokenAsk
 )
 
-// Controller decides for one proxy. It is not safe for concurrent use.
-type Controller struct {
-	s      Settings
-	now    time.Duration
-	rng    uint64
-	out    []Action
-	calls  map[CallID]*call
-	listed map[ExchangeID]*exchange
-	far    map[int]*neighbour // by number; kept when a processor is replaced
-	order  []*neighbour       // by number, rising: the order of every walk
-
-	band   []int // of each class
-	bands  int
-	widest int
-	minAim time.Duration
-
-	waiting []*call // held calls: worthier first, then older
-	ticking bool
-	asks    int // failed asks for the list in a row
-	tenants []bucket
-	tries   map[uint64]time.Duration // first tries of calls turned away, by number called
-
-	meanWorth float64       // of calls offered
-	trialAt   time.Duration // the next trial of any far end
-}
-
-// exchange is one processor on the list.
-type exchange struct {
-	id      ExchangeID
-	number  int
-	zone    int
-	phase   Phase
-	started time.Duration
-}
-
-// neighbour is another exchange, and our group of circuits to it.
-type neighbour struct {
-	number     int
-	cur        *exchange // the processor to send to, nil if none is listed
-	free, size float64   // circuits of the group; Unknown until told
-	used       []float64 // our calls' circuits, by band
-	offered    []float64 // decayed count of calls offered, by class
-	offeredAt  time.Duration
-	sent       []*call // set-ups out, oldest first
-	load       load
-	quickest   time.Duration // the least time a set-up took
-	sets       float64       // decayed count of set-ups
-	setAt      time.Duration
-	part       bucket                // while its processor starts
-	turned     map[int]time.Duration // as a tandem: exchanges it turned calls to back, until when
-}
-
-// call is a call that this proxy was offered.
-type call struct {
-	id       CallID
-	class    int
-	width    int
-	dest     int
-	number   uint64
-	transit  bool
-	worth    float64
-	arrived  time.Duration
-	first    time.Duration // when its caller tried first, as far as known
-	deadline time.Duration
-	attempts int
-	direct   bool         // the direct route was tried
-	tandems  []*neighbour // tried
-	to       *neighbour   // of the attempt that is out or stands
-	via      *exchange
-	isTandem bool
-	inBand   []float64 // circuits it holds in each band of to's group
-	sentAt   time.Duration
-	after    time.Duration // not sent again before this
-	closed   bool          // no answer is owed
-	standing bool
-	held     bool
-	ranAt    *exchange // where it may have run first, nil if nowhere
-	ranSent  time.Duration
-}
-
-// bucket is a budget that fills with time.
-type bucket struct {
-	level float64
-	at    time.Duration
-}
-
 // New returns the controller of one instance; seed feeds its random choices.
 func New(s Settings, seed uint64) *Controller {
-	c := &Controller{s: s, rng: seed, calls: map[CallID]*call{}, tries: map[uint64]time.Duration{}, listed: map[ExchangeID]*exchange{},
-		far: map[int]*neighbour{}, tenants: make([]bucket, len(s.Tenants)), minAim: math.MaxInt64}
+	c := &Controller{s: s, rng: seed, calls: map[CallID]*call{}, tries: map[uint64]time.Duration{},
+		listed: map[ExchangeID]*exchange{}, far: map[int]*neighbour{}, minAim: math.MaxInt64,
+		tenants: make([]bucket, len(s.Tenants))}
 	c.band, c.bands = holdBands(s.Classes)
 	for i := range s.Classes {
 		c.widest = max(c.widest, s.Classes[i].Width)
@@ -183,8 +97,8 @@
 		class = 0
 	}
 	cl := &c.s.Classes[class]
-	k := &call{first: c.now, id: e.Call, class: class, width: e.Width, dest: e.Dest, number: e.Number, transit: e.Transit,
-		arrived: c.now, deadline: c.now + e.Patience, worth: cl.Worth}
+	k := &call{id: e.Call, class: class, width: e.Width, dest: e.Dest, number: e.Number, transit: e.Transit,
+		arrived: c.now, first: c.now, deadline: c.now + e.Patience, worth: cl.Worth}
 	if k.width < 1 {
 		k.width = cl.Width
 	}
@@ -262,7 +176,6 @@
 	case e.Outcome == NotSent && e.Cause != NoCircuit: // the own processor is down, or the time is up
 		c.refuse(k)
 	case e.Outcome == Busy && !k.isTandem && k.attempts == 1: // a signalling fault: once more
-		k.direct = false
 		c.route(k)
 	case !k.isTandem && !c.s.Pools && (e.Outcome != NotSent && e.Cause != NoCircuit):
 		c.refuse(k) // the far end itself is silent or full: every other route ends there too
@@ -445,11 +358,8 @@
 	if tandem {
 		k.tandems = append(k.tandems, to)
 		timeout = min(k.deadline-c.now, time.Duration(tandemWait*float64(c.s.Classes[k.class].Aim)))
-	} else {
-		k.direct = true
-		if c.s.ResendAfter == 0 { // a set-up lost on the way stays lost: waiting on cannot help
-			timeout = min(k.deadline-c.now, time.Duration(directWait*float64(c.s.Classes[k.class].Aim)))
-		}
+	} else if c.s.ResendAfter == 0 { // a set-up lost on the way stays lost: waiting on cannot help
+		timeout = min(k.deadline-c.now, time.Duration(directWait*float64(c.s.Classes[k.class].Aim)))
 	}
 	c.fill(to, k)
 	to.sent = append(to.sent, k)
@@ -485,10 +395,6 @@
 	k.to, k.standing = nil, false
 }
 
-func (n *neighbour) unsend(k *call) {
-	n.sent = slices.DeleteFunc(n.sent, func(o *call) bool { return o == k })
-}
-
 // passOn sends a call in transit to its destination at once, or turns it back.
 func (c *Controller) passOn(k *call) {
 	to := c.far[k.dest]
@@ -692,14 +598,6 @@
 // only spaced trials go. Catches slow, hung, crashed, cut-off and jammed processors alike, the own one too,
 // with or without load reports. Harms when a slow answer was chance: some calls are refused until the next.
 
-// load is a belief about the wait on the way to a neighbour, in seconds.
-type load struct {
-	wait    float64
-	at      time.Duration
-	fails   int           // trials in a row without an answer
-	trialAt time.Duration // the next trial
-}
-
 func (l *load) is(now time.Duration) float64 { return l.wait * decay(now-l.at, waitHalfLife) }
 
 func (l *load) learn(now time.Duration, wait float64) {
@@ -859,9 +757,6 @@
 	c.out = append(c.out, Refuse{k.id, away})
 }
 
-// late tells whether a call can no longer stand within its aim, counted from its caller's first try.
-func (k *call) late(now, aim time.Duration) bool { return now-k.first >= aim }
-
 // remember keeps the time of the first try of a call that was turned away, for when its caller dials again.
 func (c *Controller) remember(k *call) {
 	if k.transit || k.number == 0 {
@@ -916,45 +811,6 @@
 	return slices.Contains(c.s.ClassPools[class], pool)
 }
 
-// take takes one from the budget if it holds one.
-func (b *bucket) take(now time.Duration, rate, depth float64) bool {
-	b.level = min(depth, b.level+rate*(now-b.at).Seconds())
-	b.at = now
-	if b.level < 1 {
-		return false
-	}
-	b.level--
-	return true
-}
-
 func mayHaveRun(o Outcome) bool {
 	return o != Full && o != Unreachable && o != NotSent
 }
-
-func decay(age, half time.Duration) float64 {
-	return math.Exp2(-age.Seconds() / half.Seconds())
-}
-
-func sign(x float64) int {
-	if x < 0 {
-		return -1
-	}
-	return 1
-}
-
-// jitter is a random time from 0 to d.
-func (c *Controller) jitter(d time.Duration) time.Duration {
-	if d <= 0 {
-		return 0
-	}
-	c.rng += 0x9e3779b97f4a7c15
-	hi, _ := bits.Mul64(mix(c.rng), uint64(d))
-	return time.Duration(hi)
-}
-
-// mix scrambles the bits of a number.
-func mix(x uint64) uint64 {
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
