--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1,4 +1,4 @@
-// The interface of this module is decide/api.go; all decisions are here, state and arithmetic in decide/state.go.
+// The interface of this module is decide/api.go. All decisions are here; state.go holds state and arithmetic.
 //
 // Order: constants, state, the events, the ordinary path (bands, direct, tandems), transit, waiting calls,
 // then the guards (list, cold start, pressure, repeats), and small helpers last.
