--- a/decide/decide.go
+++ b/decide/decide.go
@@ -752,7 +752,7 @@
 	}
 	var away time.Duration
 	if c.s.RetryAfter && !k.transit {
-		away = c.s.MaxStayAway/2 + c.jitter(c.s.MaxStayAway/2)
+		away = c.s.MaxStayAway - c.jitter(c.s.MaxStayAway/5)
 	}
 	c.out = append(c.out, Refuse{k.id, away})
 }
