--- a/decide/decide.go
+++ b/decide/decide.go
@@ -38,6 +38,7 @@
 	trialGap     = 500 * time.Millisecond  // first pause between trials of a pressed far end, doubling
 	trialAny     = 250 * time.Millisecond  // between any trials: the own processor may be the jam
 	trialDoubles = 3                       // this often
+	coldPart     = 0.6                     // of the rule's budget; the rest is for chance
 	coldDepth    = 2.0                     // set-ups saved up for a starting processor
 	rateHalfLife = 15 * time.Second        // of the usual rate of set-ups to a neighbour
 	triesKept    = 4096                    // first tries remembered, a bound on memory
@@ -566,9 +567,10 @@
 	return n.cur != nil && n.cur.phase == Ready && n.number != c.s.Own
 }
 
-// ---- Guard: cold starts. A processor that just started gets, from each proxy, no more than the part of the
-// proxy's usual rate that a processor at its stage can do; since the usual rates together fit a warm one,
-// the parts together fit a cold one, whoever has more traffic. Also spares a slow start its jam.
+// ---- Guard: cold starts. A processor that just started gets from each proxy the proxy's usual rate, times
+// the part of its work it can do at its age, times a part of the rule's multiple. The usual rates together
+// fit a warm processor, so these fit the rule's budget together, whoever has more traffic. Pressure spares
+// a slow start its jam. Harms where usual rates are not yet known: then the group's size speaks for them.
 
 // cold tells whether a processor is still starting.
 func (c *Controller) cold(x *exchange) bool {
@@ -578,7 +580,7 @@
 // coldRate is the set-ups a second that a starting processor may be sent from here.
 func (c *Controller) coldRate(x *exchange, usual float64) float64 {
 	age := float64(c.now-x.started) / float64(c.s.ColdFor)
-	return usual * (c.s.ColdFrom + (1-c.s.ColdFrom)*max(0, age))
+	return usual * max(1, coldPart*c.s.FallMultiple) * (c.s.ColdFrom + (1-c.s.ColdFrom)*max(0, age))
 }
 
 // coldLets takes a set-up from a starting processor's part; others are not asked.
