--- a/decide/decide.go
+++ b/decide/decide.go
@@ -34,6 +34,7 @@
 	pressRange   = 0.5                     // over this further share more and more calls are refused
 	leastRange   = 0.4                     // calls of little worth get at least this part of it
 	worthiest    = 2.5                     // and worthier calls up to this many times
+	outAdds      = 0.1                    // aims that each further set-up out to a far end adds to the expected time
 	fullWait     = 1.5                     // the least wait behind a 'full', in aims: it is worse than late
 	trialGap     = 500 * time.Millisecond  // first pause between trials of a pressed far end, doubling
 	trialAny     = 250 * time.Millisecond  // between any trials: the own processor may be the jam
@@ -612,13 +613,14 @@
 }
 
 // expected is the time a set-up to a neighbour would take now, in seconds: as the last ones did, at least as
-// long as the oldest one out has waited, and at least what the own processor adds to all.
+// long as the oldest one out has waited, at least what the own processor adds to all, and more for each
+// further one out: all senders may find a far end free together and jam it before its first answer.
 func (c *Controller) expected(n *neighbour) float64 {
 	wait := max(n.load.is(c.now), c.ownWait())
 	if len(n.sent) > 0 {
 		wait = max(wait, (c.now - n.sent[0].sentAt - n.quickest).Seconds())
 	}
-	return n.quickest.Seconds() + wait
+	return n.quickest.Seconds() + wait + outAdds*c.minAim.Seconds()*float64(max(0, len(n.sent)-1))
 }
 
 // ownWait is the least wait seen lately to any neighbour: what all share is at the own processor.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -672,3 +672,17 @@
 		t.Fatalf("with room the late redial goes direct, went to %d", got)
 	}
 }
+
+// A rush on one far end is slowed before its first answer comes.
+func TestSetUpsOutCountAsWait(t *testing.T) {
+	r := newRig(t, settings())
+	n := 0
+	for call := CallID(1); call <= 25; call++ {
+		if sent(r.offer(call, 2)) == 2 {
+			n++
+		}
+	}
+	if n < 3 || n > 12 {
+		t.Fatalf("%d of 25 set-ups at once, want some but not all", n)
+	}
+}
