--- a/decide/decide.go
+++ b/decide/decide.go
@@ -34,7 +34,7 @@
 	pressRange   = 0.5                     // over this further share more and more calls are refused
 	leastRange   = 0.4                     // calls of little worth get at least this part of it
 	worthiest    = 2.5                     // and worthier calls up to this many times
-	outAdds      = 0.1                    // aims that each further set-up out to a far end adds to the expected time
+	outAdds      = 0.1                     // aims that each further set-up out adds to the expected time
 	fullWait     = 1.5                     // the least wait behind a 'full', in aims: it is worse than late
 	trialGap     = 500 * time.Millisecond  // first pause between trials of a pressed far end, doubling
 	trialAny     = 250 * time.Millisecond  // between any trials: the own processor may be the jam
@@ -42,7 +42,8 @@
 	coldPart     = 0.6                     // of the rule's budget; the rest is for chance
 	coldDepth    = 2.0                     // set-ups saved up for a starting processor
 	rateHalfLife = 15 * time.Second        // of the usual rate of set-ups to a neighbour
-	triesKept    = 4096                    // first tries remembered, a bound on memory
+	triesKept    = 4096                    // first tries, and busy numbers, remembered: a bound on memory
+	busyFor      = 2 * time.Second         // calls to a number with all lines busy are refused this long
 	worthHalf    = 100                     // calls offered after which the mean worth is half renewed
 )
 
@@ -55,8 +56,8 @@
 // New returns the controller of one instance; seed feeds its random choices.
 func New(s Settings, seed uint64) *Controller {
 	c := &Controller{s: s, rng: seed, calls: map[CallID]*call{}, tries: map[uint64]time.Duration{},
-		listed: map[ExchangeID]*exchange{}, far: map[int]*neighbour{}, minAim: math.MaxInt64,
-		tenants: make([]bucket, len(s.Tenants))}
+		busy: map[uint64]time.Duration{}, listed: map[ExchangeID]*exchange{},
+		far: map[int]*neighbour{}, minAim: math.MaxInt64, tenants: make([]bucket, len(s.Tenants))}
 	c.band, c.bands = holdBands(s.Classes)
 	for i := range s.Classes {
 		c.widest = max(c.widest, s.Classes[i].Width)
@@ -115,6 +116,10 @@
 	if to := c.far[k.dest]; to != nil {
 		c.countOffered(to, class)
 	}
+	if !k.transit && c.busy[k.number] > c.now {
+		c.refuse(k)
+		return
+	}
 	if e.Patience < lastAnswer { // it waited out its time on the way here: only an answer at once is in time
 		c.refuse(k)
 		return
@@ -173,7 +178,10 @@
 // goOn decides what follows a failed attempt: another route where one can help, else an early answer.
 func (c *Controller) goOn(k *call, e Ended) {
 	switch {
-	case k.transit, e.Outcome == Busy && e.Cause == LinesBusy:
+	case e.Outcome == Busy && e.Cause == LinesBusy:
+		c.markBusy(k)
+		c.refuse(k)
+	case k.transit:
 		c.refuse(k)
 	case e.Outcome == NotSent && e.Cause != NoCircuit: // the own processor is down, or the time is up
 		c.refuse(k)
@@ -761,6 +769,18 @@
 	c.out = append(c.out, Refuse{k.id, away})
 }
 
+// markBusy is the guard against a rush on one number: all its lines are busy, and each further set-up to it
+// costs the processors on the way. Calls to it are refused at once for a while; then one may find a line.
+// Harms when a line frees at once: a call of that number waits longer.
+func (c *Controller) markBusy(k *call) {
+	if len(c.busy) >= triesKept {
+		clear(c.busy)
+	}
+	if k.number != 0 {
+		c.busy[k.number] = c.now + busyFor
+	}
+}
+
 // remember keeps the time of the first try of a call that was turned away, for when its caller dials again.
 func (c *Controller) remember(k *call) {
 	if k.transit || k.number == 0 {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -686,3 +686,21 @@
 		t.Fatalf("%d of 25 set-ups at once, want some but not all", n)
 	}
 }
+
+// A number with all lines busy is not tried again at once, by any call; other numbers are.
+func TestBusyNumberIsLeftAlone(t *testing.T) {
+	number := func(n uint64) func(*Offer) { return func(o *Offer) { o.Number = n } }
+	r := newRig(t, settings())
+	r.offer(1, 2, number(9))
+	r.end(1, 2, Busy, LinesBusy)
+	if acts := r.offer(2, 2, number(9)); sent(acts) != Unknown || !refused(acts) {
+		t.Fatal("a call to a busy number is refused at once")
+	}
+	if got := sent(r.offer(3, 2, number(8))); got != 2 {
+		t.Fatalf("another number is not touched, went to %d", got)
+	}
+	r.run(3 * time.Second)
+	if got := sent(r.offer(4, 2, number(9))); got != 2 {
+		t.Fatalf("later the number is tried again, went to %d", got)
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -29,6 +29,7 @@
 	ticking bool
 	asks    int // failed asks for the list in a row
 	tenants []bucket
+	busy    map[uint64]time.Duration // numbers with all lines busy, until when
 	tries   map[uint64]time.Duration // first tries of calls turned away, by number called
 
 	meanWorth float64       // of calls offered
