--- a/decide/decide.go
+++ b/decide/decide.go
@@ -185,7 +185,7 @@
 		c.refuse(k)
 	case e.Outcome == NotSent && e.Cause != NoCircuit: // the own processor is down, or the time is up
 		c.refuse(k)
-	case e.Outcome == Busy && !k.isTandem && k.attempts == 1: // a signalling fault: once more
+	case e.Outcome == Busy && !k.late(c.now, c.s.Classes[k.class].Aim): // a fault: another may pass
 		c.route(k)
 	case !k.isTandem && !c.s.Pools && (e.Outcome != NotSent && e.Cause != NoCircuit):
 		c.refuse(k) // the far end itself is silent or full: every other route ends there too
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -704,3 +704,22 @@
 		t.Fatalf("later the number is tried again, went to %d", got)
 	}
 }
+
+// A far end that answers a part of its set-ups with a fault is tried again while the call can be in time.
+func TestSignallingFaultIsTriedAgain(t *testing.T) {
+	r := newRig(t, settings())
+	r.offer(1, 2)
+	for i := 1; i < 5; i++ {
+		if got := sent(r.end(1, 2, Busy, CauseUnknown)); got != 2 {
+			t.Fatalf("after %d faults the call went to %d, want direct again", i, got)
+		}
+	}
+	if acts := r.end(1, 2, Busy, CauseUnknown); !refused(acts) {
+		t.Fatal("attempts are used up: refused")
+	}
+	r.offer(2, 2)
+	r.run(1100 * ms)
+	if acts := r.end(2, 2, Busy, CauseUnknown); !refused(acts) {
+		t.Fatal("past its aim: refused")
+	}
+}
