--- a/decide/decide.go
+++ b/decide/decide.go
@@ -663,10 +663,11 @@
 	if p <= 0 || p < 1 && float64(c.jitter(time.Second)) >= p*float64(time.Second) {
 		return true
 	}
-	if c.now < max(to.load.trialAt, c.trialAt) {
+	if c.minor(k) || c.now < max(to.load.trialAt, c.trialAt) {
 		return false
 	}
-	to.load.trialAt, c.trialAt = c.now+trialGap<<min(to.load.fails, trialDoubles), c.now+trialAny
+	to.load.trialAt = c.now + trialGap<<min(to.load.fails, trialDoubles)
+	c.trialAt = c.now + trialAny<<min(c.fails, trialDoubles)
 	return true
 }
 
@@ -676,9 +677,17 @@
 		n.quickest = took
 	}
 	n.load.learn(c.now, (took - n.quickest).Seconds())
-	n.load.fails = 0
+	if took > c.minAim {
+		c.failed(n)
+	} else {
+		n.load.fails, c.fails = 0, 0
+	}
 }
 
+// failed counts an answer that came late or never, which spaces the trials out: in a deep jam, at the own
+// processor too, the trials themselves are what keeps it up.
+func (c *Controller) failed(n *neighbour) { n.load.fails, c.fails = n.load.fails+1, c.fails+1 }
+
 // judge learns from an attempt that did not stand.
 func (c *Controller) judge(to *neighbour, k *call, e Ended) {
 	end := to
@@ -698,7 +707,7 @@
 		to.turned[k.dest] = c.now + turnedFor
 	case e.Outcome == TimedOut, e.Outcome == Unreachable:
 		to.load.atLeast(c.now, max(c.minAim, e.Took).Seconds())
-		to.load.fails++
+		c.failed(to)
 	}
 }
 
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -699,6 +699,7 @@
 	if got := sent(r.offer(3, 2, number(8))); got != 2 {
 		t.Fatalf("another number is not touched, went to %d", got)
 	}
+	r.stand(3, 2, 20*ms)
 	r.run(3 * time.Second)
 	if got := sent(r.offer(4, 2, number(9))); got != 2 {
 		t.Fatalf("later the number is tried again, went to %d", got)
@@ -723,3 +724,50 @@
 		t.Fatal("past its aim: refused")
 	}
 }
+
+// While answers stay late, trials grow rare, and late redials are never one.
+func TestTrialsGrowRareInADeepJam(t *testing.T) {
+	s := settings()
+	s.Classes[0].LateWorth = 0.25
+	r := newRig(t, s)
+	call := CallID(0)
+	for i := 0; i < 9; i++ {
+		for n := 1; n < 4; n++ {
+			call++
+			r.offer(call, n)
+			took := 4 * time.Second
+			if i == 0 {
+				took = 20 * ms
+			}
+			if r.out[call] {
+				r.stand(call, n, took)
+			}
+		}
+		r.run(400 * ms)
+	}
+	r.c.tries[5] = 0
+	for i := 0; i < 50; i++ {
+		call++
+		if sent(r.offer(call, 1+i%3, func(o *Offer) { o.Number = 5 })) != Unknown {
+			t.Fatal("a late redial went as a trial")
+		}
+		r.run(20 * ms)
+		for n := 1; n < 4; n++ {
+			r.c.far[n].load.atLeast(r.now, 4)
+		}
+	}
+	n := 0
+	for i := 0; i < 200; i++ {
+		call++
+		if sent(r.offer(call, 1+i%3)) != Unknown {
+			n++
+		}
+		r.run(10 * ms)
+		for n := 1; n < 4; n++ {
+			r.c.far[n].load.atLeast(r.now, 4)
+		}
+	}
+	if n == 0 || n > 2 {
+		t.Fatalf("%d trials in 2 s of a deep jam, want one or two", n)
+	}
+}
