--- a/cmd/wirehost/translate.go
+++ b/cmd/wirehost/translate.go
@@ -35,8 +35,6 @@
 	case wire.OpStreaming:
 		return decide.Standing{Call: call, Attempt: int(e.Attempt), Exchange: exchangeID(e.Switch),
 			Took: wire.Seconds(e.Duration)}
-	case wire.OpDatagram:
-		return decide.PeerMessage{From: int(e.Sender), Data: e.Blob}
 	case wire.OpDue:
 		return decide.TimerDue{Token: e.Cookie}
 	case wire.OpClientLeft:
@@ -49,8 +47,7 @@
 	case wire.OpSubmit:
 		return decide.Offer{Call: call, Class: int(e.Priority), Tenant: int(e.Party), Number: e.RouteKey,
 			Patience: wire.Seconds(e.Grace), Dest: wire.Whole(float64(e.Dest)),
-			Width: wire.Whole(float64(e.Units)), Advised: wire.Whole(float64(e.Through)),
-			Transit: e.Attrs&wire.AttrTransit != 0, Redial: e.Attrs&wire.AttrRedial != 0,
+			Width: wire.Whole(float64(e.Units)), Transit: e.Attrs&wire.AttrTransit != 0, Redial: e.Attrs&wire.AttrRedial != 0,
 			WasCut: e.Attrs&wire.AttrWasCut != 0}
 	}
 	return nil
@@ -107,17 +104,8 @@
 		out.Op, out.ID, out.CoolDown = wire.OpShed, uint32(a.Call), a.StayAway.Seconds()
 	case decide.Fail:
 		out.Op, out.ID = wire.OpEndFailed, uint32(a.Call)
-	case decide.Cancel:
-		out.Op, out.ID, out.Attempt = wire.OpDropAttempt, uint32(a.Call), uint16(a.Attempt)
 	case decide.Timer:
 		out.Op, out.SleepFor, out.Cookie = wire.OpSleep, a.After.Seconds(), a.Token
-	case decide.Probe:
-		out.Op, out.Switch = wire.OpTest, addr(a.Exchange)
-	case decide.Tell:
-		out.Op, out.Dst, out.Blob = wire.OpWritePeer, uint32(a.To), a.Data
-		if a.To < 0 {
-			out.Dst = wire.AllPeers
-		}
 	case decide.Subscribe:
 		out.Op, out.Active = wire.OpStreamChanges, 1
 	case decide.Note:
--- a/decide/api.go
+++ b/decide/api.go
@@ -53,27 +53,14 @@
 
 // Tenant is one owner of traffic.
 type Tenant struct {
-	Share float64 // of the service
 	Quota float64 // calls a second within its share, over all proxies; 0 is no limit
 }
 
-// Reporting tells how far processors report their load.
-type Reporting uint8
-
-// Kinds of Reporting.
-const (
-	ReportsNone Reporting = iota
-	ReportsOnProbe
-	ReportsInAnswers
-)
-
 // Settings are what one instance is given at its start.
 type Settings struct {
 	Own        int  // number of the own exchange; Unknown with Pools
 	Pools      bool // the far ends are pools of agents, without transit
-	Ordinal    int  // number of this proxy
 	Proxies    int  // number of proxies
-	Zone       int  // zone of this proxy
 	Classes    []Class
 	ClassPools [][]int // with Pools: the pools each class may go to
 	Tenants    []Tenant
@@ -81,20 +68,17 @@
 	OverShareWorth float64 // worth of calls beyond a tenant's share, as a part of their class's
 	MaxAttempts    int
 
-	Probing, Peers, Cancel, RetryAfter, Subscribe bool
-	MarksRedial                                   bool // callers mark further tries
-	Reports                                       Reporting
+	RetryAfter  bool // callers are told how long to stay away
+	Subscribe   bool // the list has to be asked for
+	MarksRedial bool // callers mark further tries
 
 	MaxStayAway  time.Duration // longest stay-away that callers observe
 	ReleaseGuard time.Duration // wait before a new set-up after a time-out, cut or cancel
 	ResendAfter  time.Duration // waiting set-ups are repeated after this; 0 is never
-	AnswerSlack  time.Duration
-	DrainGrace   time.Duration
-	MustAskIn    time.Duration
-	ColdFrom     float64 // least part of its capacity with which a processor starts
+	MustAskIn    time.Duration // with Subscribe: ask for the list at least this often until it comes
+	ColdFrom     float64       // least part of its capacity with which a processor starts
 	ColdFor      time.Duration
-	FallMultiple float64 // sent more than this multiple of its capacity ...
-	FallFor      time.Duration
+	FallMultiple float64 // sent more than this multiple of its capacity for long, it falls over
 }
 
 // Validate reports the first setting that deciding cannot work with.
@@ -116,8 +100,8 @@
 	if s.MaxAttempts < 1 || s.Proxies < 1 {
 		return errors.New("attempts and proxies must be at least one")
 	}
-	for _, d := range []time.Duration{s.MaxStayAway, s.ReleaseGuard, s.ResendAfter, s.AnswerSlack,
-		s.DrainGrace, s.MustAskIn, s.ColdFor, s.FallFor} {
+	for _, d := range []time.Duration{s.MaxStayAway, s.ReleaseGuard, s.ResendAfter, s.MustAskIn,
+		s.ColdFor} {
 		if d < 0 {
 			return fmt.Errorf("a time of %v is negative", d)
 		}
@@ -218,7 +202,6 @@
 		Patience time.Duration // until the caller gives up this try
 		Dest     int           // number of the exchange called, or of the pool of first choice
 		Width    int           // circuits on each group
-		Advised  int           // tandem the centre saw emptiest; in transit, the sending exchange
 		Transit  bool
 		Redial   bool
 		WasCut   bool // stood before, was cut, comes again
@@ -251,23 +234,17 @@
 		Took     time.Duration
 		Report   Report
 	}
-	// PeerMessage is a message of another proxy.
-	PeerMessage struct {
-		From int
-		Data []byte
-	}
 	// TimerDue answers a Timer.
 	TimerDue struct{ Token uint64 }
 )
 
-func (List) event()        {}
-func (Offer) event()       {}
-func (Standing) event()    {}
-func (Ended) event()       {}
-func (CallerLeft) event()  {}
-func (Reported) event()    {}
-func (PeerMessage) event() {}
-func (TimerDue) event()    {}
+func (List) event()       {}
+func (Offer) event()      {}
+func (Standing) event()   {}
+func (Ended) event()      {}
+func (CallerLeft) event() {}
+func (Reported) event()   {}
+func (TimerDue) event()   {}
 
 // Action is one thing this instance wants done: one of the action types below.
 type Action interface{ action() }
@@ -286,23 +263,11 @@
 	}
 	// Fail is the final answer: given up.
 	Fail struct{ Call CallID }
-	// Cancel gives up waiting for an attempt.
-	Cancel struct {
-		Call    CallID
-		Attempt int
-	}
 	// Timer asks for a TimerDue.
 	Timer struct {
 		After time.Duration
 		Token uint64
 	}
-	// Probe asks an exchange for a report.
-	Probe struct{ Exchange ExchangeID }
-	// Tell sends a message to another proxy.
-	Tell struct {
-		To   int
-		Data []byte
-	}
 	// Subscribe asks for changes of the list.
 	Subscribe struct{}
 	// Note writes one line to the log.
@@ -312,9 +277,6 @@
 func (SetUp) action()     {}
 func (Refuse) action()    {}
 func (Fail) action()      {}
-func (Cancel) action()    {}
 func (Timer) action()     {}
-func (Probe) action()     {}
-func (Tell) action()      {}
 func (Subscribe) action() {}
 func (Note) action()      {}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -6,6 +6,7 @@
 package decide
 
 import (
+	"fmt"
 	"math"
 	"slices"
 	"time"
@@ -42,6 +43,8 @@
 	coldPart     = 0.6                     // of the rule's budget; the rest is for chance
 	coldDepth    = 2.0                     // set-ups saved up for a starting processor
 	rateHalfLife = 15 * time.Second        // of the usual rate of set-ups to a neighbour
+	noteFails    = 3                       // late or missing answers in a row worth a line in the log
+	maxNotes     = 200                     // lines an instance writes
 	triesKept    = 4096                    // first tries, and busy numbers, remembered: a bound on memory
 	busyFor      = 2 * time.Second         // calls to a number with all lines busy are refused this long
 	worthHalf    = 100                     // calls offered after which the mean worth is half renewed
@@ -280,7 +283,7 @@
 }
 
 // minor tells whether a call is worth so little that it stays off last circuits and tandems. Exception to the
-// design: acts on late redials and calls over their tenant's share, near a full group only.
+// design: acts on redials past their aim, near a full group only.
 func (c *Controller) minor(k *call) bool { return k.worth < minorShare*c.s.Classes[k.class].Worth }
 
 // reserve is the number of a group's last circuits that transit and tandem legs stay off.
@@ -679,14 +682,29 @@
 	n.load.learn(c.now, (took - n.quickest).Seconds())
 	if took > c.minAim {
 		c.failed(n)
-	} else {
-		n.load.fails, c.fails = 0, 0
+		return
+	}
+	if n.load.fails >= noteFails {
+		c.note("exchange %d answers again", n.number)
+	}
+	n.load.fails, c.fails = 0, 0
+}
+
+// note writes a line for on-call staff; there are not many of them.
+func (c *Controller) note(format string, number int) {
+	if c.notes++; c.notes <= maxNotes {
+		c.out = append(c.out, Note{fmt.Sprintf(format, number)})
 	}
 }
 
 // failed counts an answer that came late or never, which spaces the trials out: in a deep jam, at the own
 // processor too, the trials themselves are what keeps it up.
-func (c *Controller) failed(n *neighbour) { n.load.fails, c.fails = n.load.fails+1, c.fails+1 }
+func (c *Controller) failed(n *neighbour) {
+	n.load.fails, c.fails = n.load.fails+1, c.fails+1
+	if n.load.fails == noteFails {
+		c.note("exchange %d answers late or not at all, trials only", n.number)
+	}
+}
 
 // judge learns from an attempt that did not stand.
 func (c *Controller) judge(to *neighbour, k *call, e Ended) {
--- a/decide/state.go
+++ b/decide/state.go
@@ -34,6 +34,7 @@
 
 	meanWorth float64       // of calls offered
 	trialAt   time.Duration // the next trial of any far end
+	notes     int           // lines written
 	fails     int           // late or missing answers in a row, from all far ends
 }
 
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -20,36 +20,33 @@
 		MarksRetry bool
 	}
 	Contract struct {
-		AnswerSlackS, ColdFrom, ColdS, DrainGraceS, FallMultiple, FallS, MustAskInS float64
+		ColdFrom, ColdS, FallMultiple, MustAskInS float64
 	}
 	Discovery  string
 	FamilyInfo struct {
 		ClassCells    [][]int
 		HoldingS      []float64
 		Widths        []float64
-		FarReports    string
 		SelfNo        *int
 		ReleaseGuardS float64
 		ResendS       float64
 		Shape         string
 	}
 	Limits struct {
-		Cancel, Peers, Probing, RetryAfter bool
-		MaxAttempts                        int
-		MaxRetryAfterS                     float64
+		RetryAfter     bool
+		MaxAttempts    int
+		MaxRetryAfterS float64
 	}
-	Ordinal        int
 	OverShareWorth float64
 	PeersTotal     int
 	Profiles       []struct {
 		AimS, DeadlineS, LateValue, Value, WindowS float64
 		KeyScope, Repeat                           string
 	}
-	Realms    []struct{ QuotaPerS, Share float64 }
+	Realms    []struct{ QuotaPerS float64 }
 	Telemetry struct {
 		Fields []string
 	}
-	Zone int
 }
 
 // ParseSettings reads a settings text. Unknown keys are ignored; absent ones are zero, one circuit wide
@@ -60,27 +57,17 @@
 		return Setup{}, fmt.Errorf("settings: %w", err)
 	}
 	s := decide.Settings{
-		Own: decide.Unknown, Pools: t.FamilyInfo.Shape == "skills", Ordinal: t.Ordinal,
-		Proxies: t.PeersTotal, Zone: t.Zone, ClassPools: t.FamilyInfo.ClassCells,
+		Own: decide.Unknown, Pools: t.FamilyInfo.Shape == "skills", Proxies: t.PeersTotal, ClassPools: t.FamilyInfo.ClassCells,
 		OverShareWorth: t.OverShareWorth, MaxAttempts: max(t.Limits.MaxAttempts, 1),
-		Probing: t.Limits.Probing, Peers: t.Limits.Peers, Cancel: t.Limits.Cancel,
 		RetryAfter: t.Limits.RetryAfter, Subscribe: t.Discovery == "subscribe",
 		MarksRedial: t.Clients.MarksRetry, MaxStayAway: Seconds(t.Limits.MaxRetryAfterS),
 		ReleaseGuard: Seconds(t.FamilyInfo.ReleaseGuardS), ResendAfter: Seconds(t.FamilyInfo.ResendS),
-		AnswerSlack: Seconds(t.Contract.AnswerSlackS), DrainGrace: Seconds(t.Contract.DrainGraceS),
 		MustAskIn: Seconds(t.Contract.MustAskInS), ColdFrom: t.Contract.ColdFrom,
 		ColdFor: Seconds(t.Contract.ColdS), FallMultiple: t.Contract.FallMultiple,
-		FallFor: Seconds(t.Contract.FallS),
 	}
 	if t.FamilyInfo.SelfNo != nil {
 		s.Own = *t.FamilyInfo.SelfNo
 	}
-	switch t.FamilyInfo.FarReports {
-	case "inline":
-		s.Reports = decide.ReportsInAnswers
-	case "on_probe":
-		s.Reports = decide.ReportsOnProbe
-	}
 	if len(t.FamilyInfo.HoldingS) != len(t.Profiles) {
 		return Setup{}, fmt.Errorf("settings: familyInfo.holdingS has %d values for %d classes",
 			len(t.FamilyInfo.HoldingS), len(t.Profiles))
@@ -98,7 +85,7 @@
 		s.Classes = append(s.Classes, c)
 	}
 	for _, r := range t.Realms {
-		s.Tenants = append(s.Tenants, decide.Tenant{Share: r.Share, Quota: r.QuotaPerS})
+		s.Tenants = append(s.Tenants, decide.Tenant{Quota: r.QuotaPerS})
 	}
 	if err := s.Validate(); err != nil {
 		return Setup{}, fmt.Errorf("settings: %w", err)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -55,9 +55,6 @@
 	AttrWasCut  = 16
 )
 
-// AllPeers as a destination means every peer.
-const AllPeers = math.MaxUint32
-
 // Addr is a switch's address: four bytes and a port, kept as they came.
 type Addr [6]byte
 
