--- a/decide/decide.go
+++ b/decide/decide.go
@@ -563,6 +563,9 @@
 	best := map[int]*exchange{}
 	for _, id := range ids {
 		x := c.listed[id]
+		if x.phase == Gone {
+			delete(c.listed, id) // or the list of the dead grows for ever
+		}
 		if b := best[x.number]; x.phase == Ready && (b == nil || x.started > b.started) {
 			best[x.number] = x
 		}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -793,3 +793,60 @@
 		t.Fatalf("notes %q, want one of silence and one of its end", notes)
 	}
 }
+
+// With pools there is no transit: second choices are pools with the skill, and keep a reserve.
+func TestPoolsOfSecondChoice(t *testing.T) {
+	s := settings()
+	s.Own, s.Pools, s.ClassPools = Unknown, true, [][]int{{1, 3}}
+	r := newRig(t, s)
+	r.free(1, 0, 40)
+	if got := sent(r.offer(1, 1)); got != 3 {
+		t.Fatalf("second choice is %d, want the other pool with the skill", got)
+	}
+	r.free(3, 1, 40)
+	if got := sent(r.offer(2, 1)); got != Unknown {
+		t.Fatalf("the second choice's last agents are kept, went to %d", got)
+	}
+}
+
+// A proxy that has just started knows no usual rates: the size of the group speaks for them.
+func TestColdProcessorSeenByANewProxy(t *testing.T) {
+	r := newRig(t, settings())
+	r.feed(List{Kind: ListChanges, Entries: []Entry{{Exchange: id(2), Number: 2, Phase: Ready, Started: r.now}}})
+	n := 0
+	for call := CallID(1); call <= 80; call++ {
+		r.free(2, 30, 40)
+		if sent(r.offer(call, 2)) == 2 {
+			n++
+		}
+		r.run(25 * ms)
+	}
+	if plan := 40.0 / (2 * 10); n == 0 || float64(n) > 2*3*0.3*plan {
+		t.Fatalf("%d set-ups in 2 s, planned rate %.1f", n, plan)
+	}
+}
+
+// A call that was cut and comes again is worth as much as it was.
+func TestCutCallComesAgainAtFullWorth(t *testing.T) {
+	s := settings()
+	s.Classes[0].LateWorth = 0.25
+	r := newRig(t, s)
+	r.free(2, 1, 40)
+	r.c.tries[5] = 0
+	cut := func(o *Offer) { o.Number, o.WasCut = 5, true }
+	if got := sent(r.offer(1, 2, cut)); got != 2 {
+		t.Fatalf("went to %d, want the last circuit", got)
+	}
+}
+
+// Processors that are gone are forgotten, however many are replaced.
+func TestGoneProcessorsAreForgotten(t *testing.T) {
+	r := newRig(t, settings())
+	for i := ExchangeID(0); i < 50; i++ {
+		r.feed(List{Kind: ListChanges, Entries: []Entry{{Exchange: 5000 + i, Number: 2, Phase: Ready, Started: r.now}}})
+		r.feed(List{Kind: ListChanges, Entries: []Entry{{Exchange: 5000 + i, Number: 2, Phase: Gone}}})
+	}
+	if len(r.c.listed) > 4 {
+		t.Fatalf("%d processors kept, want 4", len(r.c.listed))
+	}
+}
