--- a/decide/decide.go
+++ b/decide/decide.go
@@ -679,9 +679,10 @@
 
 // answered learns from a set-up that stood.
 func (c *Controller) answered(n *neighbour, took time.Duration) {
-	if n.quickest == 0 || took < n.quickest {
-		n.quickest = took
+	if n.quickest == 0 { // a proxy that starts in a jam must not take its first slow answer for normal
+		n.quickest = min(took, time.Duration(easyShare*float64(c.minAim)))
 	}
+	n.quickest = min(n.quickest, took)
 	n.load.learn(c.now, (took - n.quickest).Seconds())
 	if took > c.minAim {
 		c.failed(n)
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -850,3 +850,19 @@
 		t.Fatalf("%d processors kept, want 4", len(r.c.listed))
 	}
 }
+
+// A proxy that starts in a jam must not take its first slow answers for the normal time.
+func TestStartInAJam(t *testing.T) {
+	r := newRig(t, settings())
+	for n := 1; n < 4; n++ {
+		r.offer(CallID(n), n)
+		r.stand(CallID(n), n, 2*time.Second)
+	}
+	if got := r.c.ownWait(); got < 1 {
+		t.Fatalf("own wait believed %.2f s after answers of 2 s from everywhere", got)
+	}
+	r.run(20 * time.Second)
+	if got := r.c.expected(r.c.far[1]); got > 0.3 {
+		t.Fatalf("%.2f s still expected long after", got)
+	}
+}
