--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -862,6 +862,7 @@
 		t.Fatalf("own wait believed %.2f s after answers of 2 s from everywhere", got)
 	}
 	r.run(20 * time.Second)
+	r.free(1, 30, 40)
 	if got := r.c.expected(r.c.far[1]); got > 0.3 {
 		t.Fatalf("%.2f s still expected long after", got)
 	}
