--- a/decide/decide.go
+++ b/decide/decide.go
@@ -47,7 +47,7 @@
 	maxNotes     = 200                     // lines an instance writes
 	triesKept    = 4096                    // first tries, and busy numbers, remembered: a bound on memory
 	busyFor      = 2 * time.Second         // calls to a number with all lines busy are refused this long
-	worthHalf    = 100                     // calls offered after which the mean worth is half renewed
+	worthOver    = 100                     // calls offered over which the mean worth is renewed
 )
 
 // Timer tokens.
@@ -131,7 +131,7 @@
 		c.passOn(k)
 		return
 	}
-	c.meanWorth += (k.worth - c.meanWorth) / worthHalf
+	c.meanWorth += (k.worth - c.meanWorth) / worthOver
 	c.route(k)
 }
 
