--- a/decide/decide.go
+++ b/decide/decide.go
@@ -18,6 +18,7 @@
 	maxTandems         = 2                // tandems tried for one call, as in the design
 
 	reserveRoot = 0.35 // transit floor, in square roots of a group's circuits, over one widest call
+	reservePart = 0.16 // and at most this part of them, or it swallows a small group (0.06 on north-east-later)
 	minorShare  = 0.5  // a call worth less than this part of its class's worth is a minor one
 	tandemWait  = 0.55 // time-out of a tandem attempt, in aims: leaves room for another route
 	directWait  = 1.2  // time-out of a direct attempt where set-ups are not resent, in aims
@@ -286,9 +287,10 @@
 // design: acts on redials past their aim, near a full group only.
 func (c *Controller) minor(k *call) bool { return k.worth < minorShare*c.s.Classes[k.class].Worth }
 
-// reserve is the number of a group's last circuits that transit and tandem legs stay off.
+// reserve is the number of a group's last circuits that transit and tandem legs stay off: at least one.
 func (c *Controller) reserve(n *neighbour) float64 {
-	return float64(c.widest) + math.Floor(reserveRoot*math.Sqrt(max(0, n.size)))
+	floor := float64(c.widest) + reserveRoot*math.Sqrt(max(0, n.size))
+	return max(1, math.Floor(min(floor, reservePart*n.size)))
 }
 
 // fitsTandem tells whether a transit or tandem leg may take circuits of a group.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -270,6 +270,23 @@
 	}
 }
 
+// A small group is not swallowed by what transit stays off, though some calls are wide.
+func TestReserveLeavesRoomInASmallGroup(t *testing.T) {
+	s := settings()
+	s.Classes = append(s.Classes, s.Classes[0])
+	s.Classes[1].Width = 4
+	for _, tc := range []struct {
+		free, size float64
+		goes       bool
+	}{{2, 8, true}, {1, 8, false}, {0, 8, false}, {5, 60, false}, {8, 60, true}, {1, 1, false}} {
+		r := newRig(t, s)
+		r.free(1, tc.free, tc.size)
+		if got := sent(r.offer(1, 1, transit)) == 1; got != tc.goes {
+			t.Errorf("transit with %v of %v circuits free goes on: %v", tc.free, tc.size, got)
+		}
+	}
+}
+
 func TestHeldCallTakesAFreedCircuit(t *testing.T) {
 	r := newRig(t, settings())
 	for _, n := range []int{1, 2, 3} {
