--- a/decide/decide.go
+++ b/decide/decide.go
@@ -6,6 +6,7 @@
 package decide
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -22,8 +23,9 @@
 	minorShare  = 0.5  // a call worth less than this part of its class's worth is a minor one
 	tandemWait  = 0.55 // time-out of a tandem attempt, in aims: leaves room for another route
 	directWait  = 1.2  // time-out of a direct attempt where set-ups are not resent, in aims
-	turnedFor   = 3 * time.Second
-	// A tandem that turned a call back for want of room is passed over for that exchange this long.
+	turnedFor   = 20 * time.Second
+	// A tandem that turned a call back is passed over for that exchange this long: by the event record of full
+	// days a fifth of the next attempts over it stand then, more than half over one that carried the last call.
 
 	holdShare  = 0.85                  // a held call is sent by this share of its aim, or refused
 	lastAnswer = 40 * time.Millisecond // no answer is left until later than this before the caller gives up
@@ -145,8 +147,8 @@
 	k.to.unsend(k)
 	if !k.isTandem {
 		c.answered(k.to, e.Took)
-	} else if k.to.turned != nil {
-		delete(k.to.turned, k.dest)
+	} else if to := c.far[k.dest]; to != nil {
+		to.carried(k.to)
 	}
 }
 
@@ -329,40 +331,39 @@
 	if c.bound(to) && !c.s.Pools || c.minor(k) {
 		return false
 	}
-	for _, t := range c.tandems(k) {
+	for _, t := range c.tandems(to) {
 		if len(k.tandems) < maxTandems && c.takesTandem(k, t) {
-			c.place(k, t, true)
+			c.place(k, t.via, true)
 			return true
 		}
 	}
 	return false
 }
 
-// tandems lists the second choices of a call in the order hashed from the pair.
-func (c *Controller) tandems(k *call) []*neighbour {
-	list := make([]*neighbour, 0, len(c.order))
-	for _, n := range c.order {
-		if n.number != k.dest && n.number != c.s.Own && (!c.s.Pools || c.skilled(k.class, n.number)) {
-			list = append(list, n)
+// tandems lists the second choices of calls to an exchange: in the order hashed from the pair, but one that
+// carried a call goes to the front. Exception to the design: where few tandems have room on their second leg,
+// which only an attempt shows, the one that had it is the best guess.
+func (c *Controller) tandems(to *neighbour) []*tandem {
+	if to.tandems == nil {
+		for _, n := range c.order {
+			if n != to && n.number != c.s.Own {
+				to.tandems = append(to.tandems, &tandem{via: n})
+			}
 		}
-	}
-	score := func(n *neighbour) uint64 {
-		return mix(uint64(c.s.Own+1)<<40 ^ uint64(k.dest)<<20 ^ uint64(n.number))
-	}
-	slices.SortStableFunc(list, func(a, b *neighbour) int {
-		if score(a) < score(b) {
-			return -1
+		rank := func(t *tandem) uint64 {
+			return mix(uint64(c.s.Own+1)<<40 ^ uint64(to.number)<<20 ^ uint64(t.via.number))
 		}
-		return 1
-	})
-	return list
+		slices.SortFunc(to.tandems, func(a, b *tandem) int { return cmp.Compare(rank(a), rank(b)) })
+	}
+	return to.tandems
 }
 
 // takesTandem tells whether a tandem can be tried: it works, is not starting or pressed, the leg keeps its
 // reserve, and it did not just turn back a call to the same exchange.
-func (c *Controller) takesTandem(k *call, t *neighbour) bool {
-	return c.usable(t) && !c.cold(t.cur) && !c.bound(t) && c.mayGo(k, t.cur) && c.fitsTandem(t, k) &&
-		t.turned[k.dest] <= c.now && !slices.Contains(k.tandems, t)
+func (c *Controller) takesTandem(k *call, t *tandem) bool {
+	n := t.via
+	return t.until <= c.now && (!c.s.Pools || c.skilled(k.class, n.number)) && c.usable(n) && c.fitsTandem(n, k) &&
+		!c.bound(n) && c.mayGo(k, n.cur) && !slices.Contains(k.tandems, n)
 }
 
 // place sends a call; the time-out of a tandem attempt leaves room for another route.
@@ -547,10 +548,13 @@
 	n := c.far[number]
 	if n == nil {
 		n = &neighbour{number: number, free: Unknown, size: Unknown, used: make([]float64, c.bands),
-			offered: make([]float64, len(c.s.Classes)), turned: map[int]time.Duration{}}
+			offered: make([]float64, len(c.s.Classes))}
 		c.far[number] = n
 		i, _ := slices.BinarySearchFunc(c.order, n, func(a, b *neighbour) int { return a.number - b.number })
 		c.order = slices.Insert(c.order, i, n)
+		for _, o := range c.order {
+			o.tandems = nil // made anew with the new one
+		}
 	}
 	return n
 }
@@ -728,7 +732,7 @@
 	case e.Outcome == Full && e.Cause == ProcessorFull:
 		to.load.atLeast(c.now, fullWait*c.minAim.Seconds())
 	case k.isTandem && (e.Outcome == Full || e.Outcome == TimedOut):
-		to.turned[k.dest] = c.now + turnedFor
+		end.passOver(to, c.now+turnedFor)
 	case e.Outcome == TimedOut, e.Outcome == Unreachable:
 		to.load.atLeast(c.now, max(c.minAim, e.Took).Seconds())
 		c.failed(to)
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -659,12 +659,34 @@
 	if got := sent(r.offer(2, 2)); got != 4-first {
 		t.Fatalf("next call went to %d, want the other tandem %d", got, 4-first)
 	}
-	r.run(4 * time.Second)
-	if got := sent(r.offer(3, 2)); got != first {
+	r.end(2, 4-first, Cut, CauseUnknown)
+	r.run(turnedFor / 2)
+	if got := sent(r.offer(3, 2)); got != 4-first {
+		t.Fatalf("a way that turned back is remembered, went to %d", got)
+	}
+	r.end(3, 4-first, Cut, CauseUnknown)
+	r.run(turnedFor)
+	if got := sent(r.offer(4, 2)); got != first {
 		t.Fatalf("later the pair's first tandem is tried again, went to %d", got)
 	}
 }
 
+// Where second legs are full or missing, the tandem that carried a pair's call is tried first next time.
+func TestTandemThatCarriedACallGoesFirst(t *testing.T) {
+	r := newRig(t, settings())
+	r.free(2, 0, 40)
+	first := sent(r.offer(1, 2))
+	second := sent(r.end(1, first, Full, TurnedBack))
+	if second != 4-first {
+		t.Fatalf("second choice went to %d", second)
+	}
+	r.stand(1, second, 50*ms)
+	r.run(turnedFor + time.Second)
+	if got := sent(r.offer(2, 2)); got != second {
+		t.Fatalf("went to %d, want %d that carried the last call", got, second)
+	}
+}
+
 // A redial past its aim stays off the last circuits of its direct group and off tandems.
 func TestMinorCallsStayOffLastCircuitsAndTandems(t *testing.T) {
 	s := settings()
--- a/decide/state.go
+++ b/decide/state.go
@@ -60,8 +60,14 @@
 	quickest   time.Duration // the least time a set-up took
 	sets       float64       // decayed count of set-ups
 	setAt      time.Duration
-	part       bucket                // while its processor starts
-	turned     map[int]time.Duration // as a tandem: exchanges it turned calls to back, until when
+	part       bucket    // while its processor starts
+	tandems    []*tandem // of calls to it, first choice first; nil until one is wanted
+}
+
+// tandem is what is known of one way to an exchange over another.
+type tandem struct {
+	via   *neighbour
+	until time.Duration // passed over
 }
 
 // call is a call that this proxy was offered.
@@ -109,6 +115,27 @@
 	n.sent = slices.DeleteFunc(n.sent, func(o *call) bool { return o == k })
 }
 
+// carried puts the tandem that carried a call to n in front.
+func (n *neighbour) carried(via *neighbour) {
+	i := slices.IndexFunc(n.tandems, func(t *tandem) bool { return t.via == via })
+	if i < 0 {
+		return
+	}
+	t := n.tandems[i]
+	t.until = 0
+	copy(n.tandems[1:i+1], n.tandems[:i])
+	n.tandems[0] = t
+}
+
+// passOver leaves out a tandem of calls to n for a while.
+func (n *neighbour) passOver(via *neighbour, until time.Duration) {
+	for _, t := range n.tandems {
+		if t.via == via {
+			t.until = until
+		}
+	}
+}
+
 // late tells whether a call can no longer stand within its aim, counted from its caller's first try.
 func (k *call) late(now, aim time.Duration) bool { return now-k.first >= aim }
 
