--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -659,12 +659,12 @@
 	if got := sent(r.offer(2, 2)); got != 4-first {
 		t.Fatalf("next call went to %d, want the other tandem %d", got, 4-first)
 	}
-	r.end(2, 4-first, Cut, CauseUnknown)
+	r.end(2, 4-first, Busy, LinesBusy)
 	r.run(turnedFor / 2)
 	if got := sent(r.offer(3, 2)); got != 4-first {
 		t.Fatalf("a way that turned back is remembered, went to %d", got)
 	}
-	r.end(3, 4-first, Cut, CauseUnknown)
+	r.end(3, 4-first, Busy, LinesBusy)
 	r.run(turnedFor)
 	if got := sent(r.offer(4, 2)); got != first {
 		t.Fatalf("later the pair's first tandem is tried again, went to %d", got)
