--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -656,6 +656,7 @@
 	r.free(2, 0, 40)
 	first := sent(r.offer(1, 2))
 	r.end(1, first, Full, TurnedBack)
+	r.end(1, 4-first, Busy, LinesBusy)
 	if got := sent(r.offer(2, 2)); got != 4-first {
 		t.Fatalf("next call went to %d, want the other tandem %d", got, 4-first)
 	}
