--- a/cmd/wirehost/translate.go
+++ b/cmd/wirehost/translate.go
@@ -45,9 +45,13 @@
 	case wire.OpSync:
 		return toList(e, tables)
 	case wire.OpSubmit:
+		transit, advised := e.Attrs&wire.AttrTransit != 0, decide.Unknown
+		if !transit {
+			advised = wire.Whole(float64(e.Through)) // in transit it is where the call comes from
+		}
 		return decide.Offer{Call: call, Class: int(e.Priority), Tenant: int(e.Party), Number: e.RouteKey,
 			Patience: wire.Seconds(e.Grace), Dest: wire.Whole(float64(e.Dest)),
-			Width: wire.Whole(float64(e.Units)), Transit: e.Attrs&wire.AttrTransit != 0, Redial: e.Attrs&wire.AttrRedial != 0,
+			Width: wire.Whole(float64(e.Units)), Transit: transit, Advised: advised, Redial: e.Attrs&wire.AttrRedial != 0,
 			WasCut: e.Attrs&wire.AttrWasCut != 0}
 	}
 	return nil
--- a/decide/api.go
+++ b/decide/api.go
@@ -201,6 +201,7 @@
 		Number   uint64        // the number called
 		Patience time.Duration // until the caller gives up this try
 		Dest     int           // number of the exchange called, or of the pool of first choice
+		Advised  int           // the tandem that a centre saw most room at, late; Unknown if none
 		Width    int           // circuits on each group
 		Transit  bool
 		Redial   bool
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -106,7 +106,7 @@
 		class = 0
 	}
 	cl := &c.s.Classes[class]
-	k := &call{id: e.Call, class: class, width: e.Width, dest: e.Dest, number: e.Number, transit: e.Transit,
+	k := &call{id: e.Call, class: class, width: e.Width, dest: e.Dest, number: e.Number, advised: e.Advised, transit: e.Transit,
 		arrived: c.now, first: c.now, deadline: c.now + e.Patience, worth: cl.Worth}
 	if k.width < 1 {
 		k.width = cl.Width
@@ -331,8 +331,16 @@
 	if c.bound(to) && !c.s.Pools || c.minor(k) {
 		return false
 	}
-	for _, t := range c.tandems(to) {
-		if len(k.tandems) < maxTandems && c.takesTandem(k, t) {
+	if len(k.tandems) >= maxTandems {
+		return false
+	}
+	list := c.tandems(to)
+	if i := to.tandem(k.advised); i >= 0 && len(k.tandems) > 0 && c.takesTandem(k, list[i].via) {
+		c.place(k, list[i].via, true)
+		return true
+	}
+	for _, t := range list {
+		if t.until <= c.now && c.takesTandem(k, t.via) {
 			c.place(k, t.via, true)
 			return true
 		}
@@ -358,12 +366,11 @@
 	return to.tandems
 }
 
-// takesTandem tells whether a tandem can be tried: it works, is not starting or pressed, the leg keeps its
-// reserve, and it did not just turn back a call to the same exchange.
-func (c *Controller) takesTandem(k *call, t *tandem) bool {
-	n := t.via
-	return t.until <= c.now && (!c.s.Pools || c.skilled(k.class, n.number)) && c.usable(n) && c.fitsTandem(n, k) &&
-		!c.bound(n) && c.mayGo(k, n.cur) && !slices.Contains(k.tandems, n)
+// takesTandem tells whether a tandem can be tried: it works, is not starting or pressed, and the leg keeps its
+// reserve.
+func (c *Controller) takesTandem(k *call, t *neighbour) bool {
+	return (!c.s.Pools || c.skilled(k.class, t.number)) && c.usable(t) && c.fitsTandem(t, k) && !c.bound(t) &&
+		c.mayGo(k, t.cur) && !slices.Contains(k.tandems, t)
 }
 
 // place sends a call; the time-out of a tandem attempt leaves room for another route.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -688,6 +688,27 @@
 	}
 }
 
+// A call that its pair's tandem turned back goes over the advised tandem next, if that can be tried.
+func TestAdvisedTandemIsTheSecondChoice(t *testing.T) {
+	for advised := Unknown; advised <= 5; advised++ {
+		r := newRig(t, settings())
+		r.feed(List{Entries: []Entry{{Exchange: id(4), Number: 4, Phase: Ready}}})
+		r.free(4, 30, 40)
+		r.free(2, 0, 40)
+		plain := sent(r.offer(1, 2, func(o *Offer) { o.Advised = Unknown }))
+		r.end(1, plain, Busy, LinesBusy)
+		first := sent(r.offer(2, 2, func(o *Offer) { o.Advised = advised }))
+		if first != plain {
+			t.Fatalf("advice %d moved the first choice from %d to %d", advised, plain, first)
+		}
+		second := sent(r.end(2, first, Full, TurnedBack))
+		good := advised == 1 || advised == 3 || advised == 4
+		if good && advised != first && second != advised || second == first || second == 2 || second == Unknown {
+			t.Errorf("advice %d: first choice %d, second %d", advised, first, second)
+		}
+	}
+}
+
 // A redial past its aim stays off the last circuits of its direct group and off tandems.
 func TestMinorCallsStayOffLastCircuitsAndTandems(t *testing.T) {
 	s := settings()
--- a/decide/state.go
+++ b/decide/state.go
@@ -77,6 +77,7 @@
 	width    int
 	dest     int
 	number   uint64
+	advised  int
 	transit  bool
 	worth    float64
 	arrived  time.Duration
@@ -115,24 +116,25 @@
 	n.sent = slices.DeleteFunc(n.sent, func(o *call) bool { return o == k })
 }
 
+// tandem finds the way to n over an exchange: its place in the order, -1 if there is none.
+func (n *neighbour) tandem(via int) int {
+	return slices.IndexFunc(n.tandems, func(t *tandem) bool { return t.via.number == via })
+}
+
 // carried puts the tandem that carried a call to n in front.
 func (n *neighbour) carried(via *neighbour) {
-	i := slices.IndexFunc(n.tandems, func(t *tandem) bool { return t.via == via })
-	if i < 0 {
-		return
+	if i := n.tandem(via.number); i >= 0 {
+		t := n.tandems[i]
+		t.until = 0
+		copy(n.tandems[1:i+1], n.tandems[:i])
+		n.tandems[0] = t
 	}
-	t := n.tandems[i]
-	t.until = 0
-	copy(n.tandems[1:i+1], n.tandems[:i])
-	n.tandems[0] = t
 }
 
 // passOver leaves out a tandem of calls to n for a while.
 func (n *neighbour) passOver(via *neighbour, until time.Duration) {
-	for _, t := range n.tandems {
-		if t.via == via {
-			t.until = until
-		}
+	if i := n.tandem(via.number); i >= 0 {
+		n.tandems[i].until = until
 	}
 }
 
