--- a/decide/decide.go
+++ b/decide/decide.go
@@ -671,10 +671,14 @@
 // and jam it before its first answer.
 func (c *Controller) expected(n *neighbour) float64 {
 	wait := c.wait(&n.load)
-	if len(n.sent) > 0 {
-		wait = max(wait, (c.now - n.sent[0].sentAt - n.quickest).Seconds())
+	waiting := 0
+	for _, k := range n.sent {
+		if k.sentAt >= n.overtook { // older ones are lost
+			wait = max(wait, (c.now - k.sentAt - n.quickest).Seconds())
+			waiting++
+		}
 	}
-	return n.quickest.Seconds() + wait + outAdds*c.minAim.Seconds()*float64(max(0, len(n.sent)-1))
+	return n.quickest.Seconds() + wait + outAdds*c.minAim.Seconds()*float64(max(0, waiting-1))
 }
 
 // pressed tells how hard a route presses: 0 is not at all, at 1 and above only trials go.
@@ -707,7 +711,7 @@
 	if n.quickest == 0 { // a proxy that starts in a jam must not take its first slow answer for normal
 		n.quickest = min(took, time.Duration(easyShare*float64(c.minAim)))
 	}
-	n.quickest = min(n.quickest, took)
+	n.quickest, n.overtook = min(n.quickest, took), max(n.overtook, c.now-took)
 	c.learn(&n.load, (took - n.quickest).Seconds())
 	if took > c.minAim {
 		c.failed(n)
@@ -752,6 +756,8 @@
 		c.atLeast(&to.load, fullWait*c.minAim.Seconds())
 	case k.isTandem && (e.Outcome == Full || e.Outcome == TimedOut):
 		end.passOver(to, c.now+turnedFor)
+	case e.Outcome == TimedOut && !k.isTandem && k.sentAt < to.overtook:
+		// Its answer was lost: later set-ups were answered.
 	case e.Outcome == TimedOut, e.Outcome == Unreachable:
 		c.atLeast(&to.load, max(c.minAim, e.Took).Seconds())
 		c.failed(to)
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -946,6 +946,31 @@
 	}
 }
 
+// A set-up that stays silent while a later one to the same far end is answered was lost on the way, and is no sign
+// of a wait there; silence that nothing overtakes is.
+func TestOvertakenSetUpIsLostNotWaiting(t *testing.T) {
+	for _, overtaken := range []bool{true, false} {
+		r := newRig(t, settings())
+		r.offer(1, 1)
+		r.stand(1, 1, 50*ms)
+		r.offer(2, 1)
+		r.run(50 * ms)
+		if overtaken {
+			r.offer(3, 1)
+			r.run(50 * ms)
+			r.stand(3, 1, 50*ms)
+		}
+		r.run(time.Second)
+		if got := r.c.expected(r.c.far[1]) > 0.5; got == overtaken {
+			t.Errorf("overtaken %v: a set-up out for 1 s counts as a wait: %v", overtaken, got)
+		}
+		r.end(2, 1, TimedOut, CauseUnknown)
+		if got := r.c.expected(r.c.far[1]) > 0.5; got == overtaken {
+			t.Errorf("overtaken %v: its time-out counts as a wait: %v", overtaken, got)
+		}
+	}
+}
+
 // A proxy that starts in a jam must not take its first slow answers for the normal time.
 func TestStartInAJam(t *testing.T) {
 	r := newRig(t, settings())
--- a/decide/state.go
+++ b/decide/state.go
@@ -60,6 +60,7 @@
 	sent       []*call // set-ups out, oldest first
 	load       load
 	quickest   time.Duration // the least time a set-up took
+	overtook   time.Duration // when the newest answered set-up was sent
 	sets       float64       // decayed count of set-ups
 	setAt      time.Duration
 	part       bucket    // while its processor starts
