--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -961,6 +961,7 @@
 			r.stand(3, 1, 50*ms)
 		}
 		r.run(time.Second)
+		r.free(1, 30, 40) // moves the clock
 		if got := r.c.expected(r.c.far[1]) > 0.5; got == overtaken {
 			t.Errorf("overtaken %v: a set-up out for 1 s counts as a wait: %v", overtaken, got)
 		}
