--- a/decide/decide.go
+++ b/decide/decide.go
@@ -24,8 +24,10 @@
 	tandemWait  = 0.55 // time-out of a tandem attempt, in aims: leaves room for another route
 	directWait  = 1.2  // time-out of a direct attempt where set-ups are not resent, in aims
 	turnedFor   = 20 * time.Second
-	// A tandem that turned a call back is passed over for that exchange this long: by the event record of full
-	// days a fifth of the next attempts over it stand then, more than half over one that carried the last call.
+	turnedCalls = 30
+	// A tandem that turned a call back is passed over for that exchange this long, or for so many calls to it: by
+	// the event record of full days a fifth of the next attempts over it stand then, more than half over one that
+	// carried the last call. On thick pairs room comes and goes within as many calls.
 
 	holdShare  = 0.85                  // a held call is sent by this share of its aim, or refused
 	lastAnswer = 40 * time.Millisecond // no answer is left until later than this before the caller gives up
@@ -236,6 +238,7 @@
 		n.offered[i] *= keep
 	}
 	n.offered[class]++
+	n.calls++
 	n.offeredAt = c.now
 }
 
@@ -342,7 +345,7 @@
 		return true
 	}
 	for _, t := range list {
-		if t.until <= c.now && c.takesTandem(k, t.via) {
+		if (t.until <= c.now || t.untilCall <= to.calls) && c.takesTandem(k, t.via) {
 			c.place(k, t.via, true)
 			return true
 		}
@@ -755,7 +758,7 @@
 	case e.Outcome == Full && e.Cause == ProcessorFull:
 		c.atLeast(&to.load, fullWait*c.minAim.Seconds())
 	case k.isTandem && (e.Outcome == Full || e.Outcome == TimedOut):
-		end.passOver(to, c.now+turnedFor)
+		end.passOver(to, c.now+turnedFor, end.calls+turnedCalls)
 	case e.Outcome == TimedOut && !k.isTandem && k.sentAt < to.overtook:
 		// Its answer was lost: later set-ups were answered.
 	case e.Outcome == TimedOut, e.Outcome == Unreachable:
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -672,6 +672,25 @@
 	}
 }
 
+// On a thick pair room comes and goes with the calls: a turn-back is forgotten after so many.
+func TestTurnBackIsForgottenAfterManyCalls(t *testing.T) {
+	r := newRig(t, settings())
+	r.free(2, 0, 40)
+	call, first := CallID(1), sent(r.offer(1, 2))
+	r.end(1, first, Full, TurnedBack)
+	r.end(1, 4-first, Busy, LinesBusy)
+	for i := 1; i < turnedCalls; i++ {
+		if got := sent(r.offer(call+1, 2)); got != 4-first {
+			t.Fatalf("call %d after the turn-back went to %d, want %d", i, got, 4-first)
+		}
+		call++
+		r.end(call, 4-first, Busy, LinesBusy)
+	}
+	if got := sent(r.offer(call+1, 2)); got != first {
+		t.Fatalf("after %d calls went to %d, want the pair's first tandem %d", turnedCalls, got, first)
+	}
+}
+
 // Where second legs are full or missing, the tandem that carried a pair's call is tried first next time.
 func TestTandemThatCarriedACallGoesFirst(t *testing.T) {
 	r := newRig(t, settings())
--- a/decide/state.go
+++ b/decide/state.go
@@ -57,6 +57,7 @@
 	used       []float64 // our calls' circuits, by band
 	offered    []float64 // decayed count of calls offered, by class
 	offeredAt  time.Duration
+	calls      int     // ever offered
 	sent       []*call // set-ups out, oldest first
 	load       load
 	quickest   time.Duration // the least time a set-up took
@@ -69,8 +70,9 @@
 
 // tandem is what is known of one way to an exchange over another.
 type tandem struct {
-	via   *neighbour
-	until time.Duration // passed over
+	via       *neighbour
+	until     time.Duration // passed over,
+	untilCall int           // or until that many calls were offered to the exchange
 }
 
 // call is a call that this proxy was offered.
@@ -140,10 +142,10 @@
 	}
 }
 
-// passOver leaves out a tandem of calls to n for a while.
-func (n *neighbour) passOver(via *neighbour, until time.Duration) {
+// passOver leaves out a tandem of calls to n for a time or a number of calls.
+func (n *neighbour) passOver(via *neighbour, until time.Duration, untilCall int) {
 	if i := n.tandem(via.number); i >= 0 {
-		n.tandems[i].until = until
+		n.tandems[i].until, n.tandems[i].untilCall = until, untilCall
 	}
 }
 
