--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -680,6 +680,7 @@
 	r.end(1, first, Full, TurnedBack)
 	r.end(1, 4-first, Busy, LinesBusy)
 	for i := 1; i < turnedCalls; i++ {
+		r.free(4-first, 30, 40)
 		if got := sent(r.offer(call+1, 2)); got != 4-first {
 			t.Fatalf("call %d after the turn-back went to %d, want %d", i, got, 4-first)
 		}
