--- a/decide/decide.go
+++ b/decide/decide.go
@@ -20,6 +20,8 @@
 
 	reserveRoot = 0.35 // transit floor, in square roots of a group's circuits, over one widest call
 	reservePart = 0.16 // and at most this part of them, or it swallows a small group (0.06 on north-east-later)
+	knownBears  = 0.2  // pressure, of a call of least worth, up to which a way that carried a call is taken, or any
+	guessBears  = -0.3 // where there is no group; and any other: most guesses are turned back, which costs work
 	minorShare  = 0.5  // a call worth less than this part of its class's worth is a minor one
 	tandemWait  = 0.55 // time-out of a tandem attempt, in aims: leaves room for another route
 	directWait  = 1.2  // time-out of a direct attempt where set-ups are not resent, in aims
@@ -333,24 +335,33 @@
 	} else if !c.s.Pools {
 		return false // no processor there to end at
 	}
-	if c.bound(to) && !c.s.Pools || c.minor(k) {
+	if c.minor(k) || len(k.tandems) >= maxTandems {
 		return false
 	}
-	if len(k.tandems) >= maxTandems {
-		return false
+	if t := c.chooseTandem(k, to); t != nil {
+		c.place(k, t.via, true)
+		return true
 	}
+	return false
+}
+
+// chooseTandem picks the way to try next: the first in order that can be tried. Exception to the design: a call
+// that its pair's tandem turned back, or that none in order takes, goes over the one that a centre advises.
+func (c *Controller) chooseTandem(k *call, to *neighbour) *tandem {
 	list := c.tandems(to)
-	if i := to.tandem(k.advised); i >= 0 && len(k.tandems) > 0 && c.takesTandem(k, list[i].via) {
-		c.place(k, list[i].via, true)
-		return true
+	var advised *tandem
+	if i := to.tandem(k.advised); i >= 0 && c.takesTandem(k, to, list[i], true) {
+		advised = list[i]
+	}
+	if advised != nil && len(k.tandems) > 0 {
+		return advised
 	}
 	for _, t := range list {
-		if (t.until <= c.now || t.untilCall <= to.calls) && c.takesTandem(k, t.via) {
-			c.place(k, t.via, true)
-			return true
+		if (t.until <= c.now || t.untilCall <= to.calls) && c.takesTandem(k, to, t, t.carried || to.size <= 0) {
+			return t
 		}
 	}
-	return false
+	return advised
 }
 
 // tandems lists the second choices of calls to an exchange: in the order hashed from the pair, but one that
@@ -371,11 +382,16 @@
 	return to.tandems
 }
 
-// takesTandem tells whether a tandem can be tried: it works, is not starting or pressed, and the leg keeps its
-// reserve.
-func (c *Controller) takesTandem(k *call, t *neighbour) bool {
-	return (!c.s.Pools || c.skilled(k.class, t.number)) && c.usable(t) && c.fitsTandem(t, k) && !c.bound(t) &&
-		c.mayGo(k, t.cur) && !slices.Contains(k.tandems, t)
+// takesTandem tells whether a tandem can be tried: it works, the leg keeps its reserve, and neither its processor
+// nor the one beyond is starting or pressed. Exception to the design: overflow of a group takes a way that did not
+// carry its last call only in calm, as most such attempts are turned back and their work feeds a jam.
+func (c *Controller) takesTandem(k *call, to *neighbour, t *tandem, known bool) bool {
+	n, bears := t.via, guessBears
+	if known {
+		bears = knownBears
+	}
+	return (!c.s.Pools || c.skilled(k.class, n.number)) && c.usable(n) && c.fitsTandem(n, k) && c.mayGo(k, n.cur) &&
+		!slices.Contains(k.tandems, n) && !c.bound(n, bears) && (c.s.Pools || !c.bound(to, bears))
 }
 
 // place sends a call; the time-out of a tandem attempt leaves room for another route.
@@ -691,8 +707,8 @@
 }
 
 // bound tells whether a neighbour's processor is under pressure or starting.
-func (c *Controller) bound(n *neighbour) bool {
-	return c.cold(n.cur) || c.pressed(n, c.minAim, 0) > 0
+func (c *Controller) bound(n *neighbour, bears float64) bool {
+	return c.cold(n.cur) || c.pressed(n, c.minAim, 0) > bears
 }
 
 // lets decides whether pressure lets a call through to its destination.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -729,6 +729,37 @@
 	}
 }
 
+// With some wait about, overflow of a group takes only a way that is known: one that carried the last call or is
+// advised. A pair without a group takes any.
+func TestGuessedTandemsOnlyInCalm(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		wait    float64
+		carried bool
+		size    float64
+		advised int
+		goes    bool
+	}{
+		{"calm", 0, false, 40, Unknown, true},
+		{"some wait", 0.12, false, 40, Unknown, false},
+		{"some wait, way known", 0.12, true, 40, Unknown, true},
+		{"some wait, way advised", 0.12, false, 40, 3, true},
+		{"some wait, no group", 0.12, false, 0, Unknown, true},
+		{"pressed, way known", 0.4, true, 40, Unknown, false},
+	} {
+		r := newRig(t, settings())
+		r.free(2, 0, tc.size)
+		if tc.carried {
+			r.c.far[2].carried(r.c.tandems(r.c.far[2])[0].via)
+		}
+		r.c.atLeast(&r.c.far[2].load, tc.wait)
+		got := sent(r.offer(1, 2, func(o *Offer) { o.Advised = tc.advised }))
+		if (got != Unknown) != tc.goes || tc.advised > 0 && got != tc.advised {
+			t.Errorf("%s: went to %d", tc.name, got)
+		}
+	}
+}
+
 // A redial past its aim stays off the last circuits of its direct group and off tandems.
 func TestMinorCallsStayOffLastCircuitsAndTandems(t *testing.T) {
 	s := settings()
--- a/decide/state.go
+++ b/decide/state.go
@@ -73,6 +73,7 @@
 	via       *neighbour
 	until     time.Duration // passed over,
 	untilCall int           // or until that many calls were offered to the exchange
+	carried   bool          // the last call that went over it stood
 }
 
 // call is a call that this proxy was offered.
@@ -136,7 +137,7 @@
 func (n *neighbour) carried(via *neighbour) {
 	if i := n.tandem(via.number); i >= 0 {
 		t := n.tandems[i]
-		t.until = 0
+		t.until, t.carried = 0, true
 		copy(n.tandems[1:i+1], n.tandems[:i])
 		n.tandems[0] = t
 	}
@@ -145,7 +146,8 @@
 // passOver leaves out a tandem of calls to n for a time or a number of calls.
 func (n *neighbour) passOver(via *neighbour, until time.Duration, untilCall int) {
 	if i := n.tandem(via.number); i >= 0 {
-		n.tandems[i].until, n.tandems[i].untilCall = until, untilCall
+		t := n.tandems[i]
+		t.until, t.untilCall, t.carried = until, untilCall, false
 	}
 }
 
