--- a/decide/decide.go
+++ b/decide/decide.go
@@ -19,17 +19,14 @@
 	maxTandems         = 2                // tandems tried for one call, as in the design
 
 	reserveRoot = 0.35 // transit floor, in square roots of a group's circuits, over one widest call
-	reservePart = 0.16 // and at most this part of them, or it swallows a small group (0.06 on north-east-later)
-	knownBears  = 0.2  // pressure, of a call of least worth, up to which a way that carried a call is taken, or any
-	guessBears  = -0.3 // where there is no group; and any other: most guesses are turned back, which costs work
+	reservePart = 0.16 // and at most this part of them, or it swallows a small group
 	minorShare  = 0.5  // a call worth less than this part of its class's worth is a minor one
 	tandemWait  = 0.55 // time-out of a tandem attempt, in aims: leaves room for another route
 	directWait  = 1.2  // time-out of a direct attempt where set-ups are not resent, in aims
 	turnedFor   = 20 * time.Second
 	turnedCalls = 30
-	// A tandem that turned a call back is passed over for that exchange this long, or for so many calls to it: by
-	// the event record of full days a fifth of the next attempts over it stand then, more than half over one that
-	// carried the last call. On thick pairs room comes and goes within as many calls.
+	// A tandem that turned a call back is passed over for that exchange this long or so many calls: a fifth
+	// of the next attempts over it stand then, over half of those over one that carried the last call.
 
 	holdShare  = 0.85                  // a held call is sent by this share of its aim, or refused
 	lastAnswer = 40 * time.Millisecond // no answer is left until later than this before the caller gives up
@@ -41,6 +38,8 @@
 	sightLeast   = 3                       // where there are so many
 	newest       = 0.6                     // weight of the newest wait against those before
 	easyShare    = 0.15                    // an expected set-up time of this share of an aim is no pressure
+	knownShare   = 0.19                    // over this, tandems known to have room are left out,
+	guessShare   = 0.09                    // over this the others, for pairs that have a group
 	pressRange   = 0.5                     // over this further share more and more calls are refused
 	leastRange   = 0.4                     // calls of little worth get at least this part of it
 	worthiest    = 2.5                     // and worthier calls up to this many times
@@ -82,6 +81,7 @@
 // Feed tells the controller one event and returns what it wants done now, in order.
 func (c *Controller) Feed(now time.Duration, ev Event) []Action {
 	c.now, c.out = max(c.now, now), nil
+	c.common = c.medianSight()
 	switch e := ev.(type) {
 	case List:
 		c.onList(e)
@@ -112,8 +112,8 @@
 		class = 0
 	}
 	cl := &c.s.Classes[class]
-	k := &call{id: e.Call, class: class, width: e.Width, dest: e.Dest, number: e.Number, advised: e.Advised, transit: e.Transit,
-		arrived: c.now, first: c.now, deadline: c.now + e.Patience, worth: cl.Worth}
+	k := &call{id: e.Call, class: class, width: e.Width, dest: e.Dest, number: e.Number, advised: e.Advised,
+		transit: e.Transit, arrived: c.now, first: c.now, deadline: c.now + e.Patience, worth: cl.Worth}
 	if k.width < 1 {
 		k.width = cl.Width
 	}
@@ -335,30 +335,37 @@
 	} else if !c.s.Pools {
 		return false // no processor there to end at
 	}
-	if c.minor(k) || len(k.tandems) >= maxTandems {
-		return false
-	}
-	if t := c.chooseTandem(k, to); t != nil {
-		c.place(k, t.via, true)
-		return true
+	t := c.chooseTandem(k, to)
+	if t != nil {
+		c.place(k, t, true)
 	}
-	return false
+	return t != nil
 }
 
-// chooseTandem picks the way to try next: the first in order that can be tried. Exception to the design: a call
-// that its pair's tandem turned back, or that none in order takes, goes over the one that a centre advises.
-func (c *Controller) chooseTandem(k *call, to *neighbour) *tandem {
-	list := c.tandems(to)
-	var advised *tandem
-	if i := to.tandem(k.advised); i >= 0 && c.takesTandem(k, to, list[i], true) {
-		advised = list[i]
+// chooseTandem picks the tandem to try next: the first in order that can be tried. Exceptions to the design:
+// a call that its pair's tandem turned back, or that none in order takes, goes over the one a centre advises;
+// and overflow of a group goes only in calm over one that did not carry the last such call, as most of these
+// attempts are turned back and their work feeds a jam. Harms where room lies behind ways never tried.
+func (c *Controller) chooseTandem(k *call, to *neighbour) *neighbour {
+	if c.minor(k) || len(k.tandems) >= maxTandems || !c.s.Pools && c.bound(to, knownShare) {
+		return nil
+	}
+	list, calm := c.tandems(to), to.size <= 0 || c.s.Pools || !c.bound(to, guessShare)
+	var advised *neighbour
+	if i := to.tandem(k.advised); i >= 0 && c.takesTandem(k, list[i].via, knownShare) {
+		advised = list[i].via
 	}
 	if advised != nil && len(k.tandems) > 0 {
 		return advised
 	}
 	for _, t := range list {
-		if (t.until <= c.now || t.untilCall <= to.calls) && c.takesTandem(k, to, t, t.carried || to.size <= 0) {
-			return t
+		share := knownShare
+		if !t.carried && to.size > 0 {
+			share = guessShare
+		}
+		passed := t.until > c.now && t.untilCall > to.calls
+		if !passed && (t.carried || calm) && c.takesTandem(k, t.via, share) {
+			return t.via
 		}
 	}
 	return advised
@@ -382,16 +389,11 @@
 	return to.tandems
 }
 
-// takesTandem tells whether a tandem can be tried: it works, the leg keeps its reserve, and neither its processor
-// nor the one beyond is starting or pressed. Exception to the design: overflow of a group takes a way that did not
-// carry its last call only in calm, as most such attempts are turned back and their work feeds a jam.
-func (c *Controller) takesTandem(k *call, to *neighbour, t *tandem, known bool) bool {
-	n, bears := t.via, guessBears
-	if known {
-		bears = knownBears
-	}
-	return (!c.s.Pools || c.skilled(k.class, n.number)) && c.usable(n) && c.fitsTandem(n, k) && c.mayGo(k, n.cur) &&
-		!slices.Contains(k.tandems, n) && !c.bound(n, bears) && (c.s.Pools || !c.bound(to, bears))
+// takesTandem tells whether a tandem can be tried: it works, is not starting or pressed, and the leg keeps
+// its reserve.
+func (c *Controller) takesTandem(k *call, t *neighbour, share float64) bool {
+	return (!c.s.Pools || c.skilled(k.class, t.number)) && c.usable(t) && c.fitsTandem(t, k) &&
+		c.mayGo(k, t.cur) && !slices.Contains(k.tandems, t) && !c.bound(t, share)
 }
 
 // place sends a call; the time-out of a tandem attempt leaves room for another route.
@@ -653,7 +655,7 @@
 // what most answers showed lately. The common part is the own processor's wait, or that of a jam of all.
 func (c *Controller) wait(l *load) float64 {
 	keep := decay(c.now-l.at, waitHalfLife)
-	return keep*l.wait + (1-keep)*c.common()
+	return keep*l.wait + (1-keep)*c.common
 }
 
 // learn takes in the wait that an answer showed.
@@ -668,9 +670,9 @@
 	l.wait, l.at = max(wait, c.wait(l)), c.now
 }
 
-// common is the median of the newest waits from all far ends: high where the own processor or all are jammed,
-// low where some far ends are.
-func (c *Controller) common() float64 {
+// medianSight is the median of the newest waits from all far ends: high where the own processor or all are
+// jammed, low where some far ends are.
+func (c *Controller) medianSight() float64 {
 	var buf [sightCount]float64
 	lately := buf[:0]
 	for _, s := range c.sights {
@@ -685,14 +687,14 @@
 	return lately[len(lately)/2]
 }
 
-// expected is the time a set-up to a neighbour would take now, in seconds: as believed, at least as long as the
-// oldest one out has waited, and more for each further one out: all senders may find a far end free together
-// and jam it before its first answer.
+// expected is the time a set-up to a neighbour would take now, in seconds: as believed, at least as long as
+// the oldest one out has waited, and more for each further one out: all senders may find a far end free
+// together and jam it before its first answer. Set-ups that a later one's answer overtook do not wait: lost.
 func (c *Controller) expected(n *neighbour) float64 {
 	wait := c.wait(&n.load)
 	waiting := 0
 	for _, k := range n.sent {
-		if k.sentAt >= n.overtook { // older ones are lost
+		if k.sentAt >= n.overtook {
 			wait = max(wait, (c.now - k.sentAt - n.quickest).Seconds())
 			waiting++
 		}
@@ -706,9 +708,9 @@
 	return x / (pressRange * min(worthiest, max(leastRange, worth/c.meanWorth)))
 }
 
-// bound tells whether a neighbour's processor is under pressure or starting.
-func (c *Controller) bound(n *neighbour, bears float64) bool {
-	return c.cold(n.cur) || c.pressed(n, c.minAim, 0) > bears
+// bound tells whether a neighbour's processor is starting or expected to take over a share of an aim.
+func (c *Controller) bound(n *neighbour, share float64) bool {
+	return c.cold(n.cur) || c.expected(n) > share*c.minAim.Seconds()
 }
 
 // lets decides whether pressure lets a call through to its destination.
@@ -768,7 +770,7 @@
 	}
 	switch {
 	case e.Outcome == NotSent && e.Cause == NoCircuit:
-		to.free = min(to.free, 0)
+		to.free = 0 // also where no group was ever told: the pair may have none
 	case e.Cause == TurnedBackFull, e.Outcome == Full && e.Cause == ProcessorFull && !k.isTandem:
 		c.atLeast(&end.load, fullWait*c.minAim.Seconds())
 	case e.Outcome == Full && e.Cause == ProcessorFull:
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1030,7 +1030,7 @@
 		r.offer(CallID(n), n)
 		r.stand(CallID(n), n, 2*time.Second)
 	}
-	if got := r.c.common(); got < 1 {
+	if got := r.c.medianSight(); got < 1 {
 		t.Fatalf("common wait believed %.2f s after answers of 2 s from everywhere", got)
 	}
 	r.run(20 * time.Second)
--- a/decide/state.go
+++ b/decide/state.go
@@ -37,7 +37,8 @@
 	notes     int           // lines written
 	fails     int           // late or missing answers in a row, from all far ends
 	sights    [sightCount]sight
-	seen      int // sights ever taken
+	seen      int     // sights ever taken
+	common    float64 // the wait that most answers showed lately, in seconds
 }
 
 // exchange is one processor on the list.
