--- a/decide/decide.go
+++ b/decide/decide.go
@@ -49,7 +49,6 @@
 	trialAny     = 250 * time.Millisecond  // between any trials: the own processor may be the jam
 	trialDoubles = 3                       // this often
 	coldPart     = 0.6                     // of the rule's budget; the rest is for chance
-	coldDepth    = 2.0                     // set-ups saved up for a starting processor
 	rateHalfLife = 15 * time.Second        // of the usual rate of set-ups to a neighbour
 	noteFails    = 3                       // late or missing answers in a row worth a line in the log
 	maxNotes     = 200                     // lines an instance writes
@@ -432,15 +431,6 @@
 	}
 }
 
-// unplace takes an ended attempt off its group's books.
-func (c *Controller) unplace(k *call) {
-	k.to.unsend(k)
-	for i := range k.inBand {
-		k.to.used[i] -= k.inBand[i]
-	}
-	k.to, k.standing = nil, false
-}
-
 // passOn sends a call in transit to its destination at once, or turns it back.
 func (c *Controller) passOn(k *call) {
 	to := c.far[k.dest]
@@ -535,11 +525,6 @@
 	}
 }
 
-func (c *Controller) unhold(k *call) {
-	k.held = false
-	c.waiting = slices.DeleteFunc(c.waiting, func(o *call) bool { return o == k })
-}
-
 // ---- Guard: the list. Nothing new goes to an exchange from the moment it is told to drain or be gone,
 // held calls included. Guards calls from being cut when it stops; harms if the list is wrong.
 
@@ -573,22 +558,6 @@
 	c.serve()
 }
 
-// neighbour finds or makes the record of an exchange number.
-func (c *Controller) neighbour(number int) *neighbour {
-	n := c.far[number]
-	if n == nil {
-		n = &neighbour{number: number, free: Unknown, size: Unknown, used: make([]float64, c.bands),
-			offered: make([]float64, len(c.s.Classes))}
-		c.far[number] = n
-		i, _ := slices.BinarySearchFunc(c.order, n, func(a, b *neighbour) int { return a.number - b.number })
-		c.order = slices.Insert(c.order, i, n)
-		for _, o := range c.order {
-			o.tandems = nil // made anew with the new one
-		}
-	}
-	return n
-}
-
 // chooseProcessors picks, for each number, the ready processor that started last.
 func (c *Controller) chooseProcessors() {
 	ids := make([]ExchangeID, 0, len(c.listed))
@@ -609,6 +578,7 @@
 	for _, n := range c.order {
 		if b := best[n.number]; b != n.cur {
 			n.cur, n.load = b, load{}
+			n.part = bucket{float64(c.jitter(time.Second)) / float64(time.Second), c.now}
 		}
 	}
 }
@@ -634,9 +604,14 @@
 	return usual * max(1, coldPart*c.s.FallMultiple) * (c.s.ColdFrom + (1-c.s.ColdFrom)*max(0, age))
 }
 
-// coldLets takes a set-up from a starting processor's part; others are not asked.
+// coldLets takes a set-up from a starting processor's part; others are not asked. The part starts at a random
+// fill under one set-up, or all proxies together would send one at once.
 func (c *Controller) coldLets(n *neighbour) bool {
-	return !c.cold(n.cur) || n.part.take(c.now, c.coldRate(n.cur, c.usual(n)), coldDepth)
+	if !c.cold(n.cur) {
+		return true
+	}
+	rate := c.coldRate(n.cur, c.usual(n))
+	return n.part.take(c.now, rate, 1+min(1, rate))
 }
 
 // usual is the rate of set-ups to a neighbour in quiet times: as seen, or as its group's size suggests.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -921,6 +921,31 @@
 	}
 }
 
+// Ninety proxies with thin pairs to a starting processor do not send it their first call all at once.
+func TestManyProxiesStartAProcessorGently(t *testing.T) {
+	const proxies, size = 90, 4.0
+	n := 0
+	for seed := uint64(0); seed < proxies; seed++ {
+		r := newRig(t, settings())
+		r.c = New(settings(), seed)
+		r.feed(List{Kind: ListFull, Entries: []Entry{{Exchange: id(2), Number: 2, Phase: Ready, Started: r.now}}})
+		r.free(2, size, size)
+		for call := CallID(1); call <= 4; call++ {
+			r.offer(call, 2)
+			r.run(500 * ms)
+		}
+		for _, a := range r.acts {
+			if _, ok := a.(SetUp); ok {
+				n++
+			}
+		}
+	}
+	plan := proxies * size / (2 * 10) // set-ups a second
+	if budget := 2 * 3 * 0.3 * plan; n == 0 || float64(n) > budget {
+		t.Fatalf("%d set-ups in the first 2 s, budget %.1f", n, budget)
+	}
+}
+
 // A proxy that has just started knows no usual rates: the size of the group speaks for them.
 func TestColdProcessorSeenByANewProxy(t *testing.T) {
 	r := newRig(t, settings())
--- a/decide/state.go
+++ b/decide/state.go
@@ -129,6 +129,37 @@
 	n.sent = slices.DeleteFunc(n.sent, func(o *call) bool { return o == k })
 }
 
+// neighbour finds or makes the record of an exchange number.
+func (c *Controller) neighbour(number int) *neighbour {
+	n := c.far[number]
+	if n == nil {
+		n = &neighbour{number: number, free: Unknown, size: Unknown, used: make([]float64, c.bands),
+			offered: make([]float64, len(c.s.Classes))}
+		c.far[number] = n
+		i, _ := slices.BinarySearchFunc(c.order, n, func(a, b *neighbour) int { return a.number - b.number })
+		c.order = slices.Insert(c.order, i, n)
+		for _, o := range c.order {
+			o.tandems = nil // made anew with the new one
+		}
+	}
+	return n
+}
+
+// unplace takes an ended attempt off its group's books.
+func (c *Controller) unplace(k *call) {
+	k.to.unsend(k)
+	for i := range k.inBand {
+		k.to.used[i] -= k.inBand[i]
+	}
+	k.to, k.standing = nil, false
+}
+
+// unhold takes a call off the held ones.
+func (c *Controller) unhold(k *call) {
+	k.held = false
+	c.waiting = slices.DeleteFunc(c.waiting, func(o *call) bool { return o == k })
+}
+
 // tandem finds the way to n over an exchange: its place in the order, -1 if there is none.
 func (n *neighbour) tandem(via int) int {
 	return slices.IndexFunc(n.tandems, func(t *tandem) bool { return t.via.number == via })
