--- a/decide/decide.go
+++ b/decide/decide.go
@@ -680,7 +680,10 @@
 // pressed tells how hard a route presses: 0 is not at all, at 1 and above only trials go.
 func (c *Controller) pressed(n *neighbour, aim time.Duration, worth float64) float64 {
 	x := c.expected(n)/aim.Seconds() - easyShare
-	return x / (pressRange * min(worthiest, max(leastRange, worth/c.meanWorth)))
+	if c.meanWorth > 0 {
+		worth /= c.meanWorth
+	}
+	return x / (pressRange * min(worthiest, max(leastRange, worth)))
 }
 
 // bound tells whether a neighbour's processor is starting or expected to take over a share of an aim.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1048,6 +1048,98 @@
 	}
 }
 
+// Whatever a call or a report says, each call gets one final answer or stands, and nothing turns to NaN.
+func TestOddInputIsAnsweredOnce(t *testing.T) {
+	nan := math.NaN()
+	for _, tc := range []struct {
+		name   string
+		change func(*Settings)
+		size   float64
+		report Report
+		offer  Offer
+	}{
+		{name: "destination never listed", size: 40, offer: Offer{Dest: 77, Width: 1}},
+		{name: "destination unknown", size: 40, offer: Offer{Dest: Unknown, Width: 1}},
+		{name: "class out of range", size: 40, offer: Offer{Dest: 1, Class: 9, Width: 1}},
+		{name: "class negative", size: 40, offer: Offer{Dest: 1, Class: -3, Width: 1}},
+		{name: "tenant out of range", size: 40, offer: Offer{Dest: 1, Tenant: 5, Width: 1}},
+		{name: "wider than the group", size: 4, offer: Offer{Dest: 1, Width: 50}},
+		{name: "no width", size: 40, offer: Offer{Dest: 1}},
+		{name: "group of no circuits", size: 0, offer: Offer{Dest: 1, Width: 1}},
+		{name: "NaN report", size: 40, report: Report{Free: nan, Size: nan}, offer: Offer{Dest: 1, Width: 1}},
+		{name: "negative report", size: 40, report: Report{Free: -7, Size: -7}, offer: Offer{Dest: 1, Width: 1}},
+		{name: "worth 0", change: func(s *Settings) { s.Classes[0].Worth = 0 }, size: 40, offer: Offer{Dest: 1, Width: 1}},
+	} {
+		s := settings()
+		if tc.change != nil {
+			tc.change(&s)
+		}
+		r := newRig(t, s)
+		for n := 1; n < 4; n++ {
+			r.free(n, tc.size, tc.size)
+			if tc.report != (Report{}) {
+				r.feed(Reported{Exchange: id(n), Outcome: Completed, Report: tc.report})
+			}
+		}
+		tc.offer.Call, tc.offer.Patience = 1, 3*time.Second
+		r.offered[1] = true
+		acts := append(r.feed(tc.offer), r.run(3*time.Second)...)
+		if to := sent(acts); to != Unknown {
+			r.stand(1, to, 50*ms)
+			r.end(1, to, Completed, CauseUnknown)
+		} else if r.answered[1] != 1 {
+			t.Errorf("%s: %d answers", tc.name, r.answered[1])
+		}
+		for n := 1; n < 4; n++ {
+			far := r.c.far[n]
+			if p := r.c.pressed(far, time.Second, s.Classes[0].Worth); math.IsNaN(p) || math.IsNaN(far.free) {
+				t.Errorf("%s: pressure %v, free %v", tc.name, p, far.free)
+			}
+		}
+	}
+}
+
+// A pair whose group was never told is found to have none at the first attempt, and not tried direct again.
+func TestUntoldGroupIsTriedOnce(t *testing.T) {
+	r := newRig(t, settings())
+	r.feed(List{Entries: []Entry{{Exchange: id(4), Number: 4, Phase: Ready}}})
+	if got := sent(r.offer(1, 4)); got != 4 {
+		t.Fatalf("an untold group is tried first, went to %d", got)
+	}
+	if got := sent(r.end(1, 4, NotSent, NoCircuit)); got == 4 || got == Unknown {
+		t.Fatalf("then a tandem, went to %d", got)
+	}
+	if got := sent(r.offer(2, 4)); got == 4 || got == Unknown {
+		t.Fatalf("the next call goes over a tandem at once, went to %d", got)
+	}
+}
+
+// BenchmarkFeed offers calls to full groups, so that every call looks for a tandem: the dearest decision.
+func BenchmarkFeed(b *testing.B) {
+	for _, exchanges := range []int{10, 100} {
+		b.Run(fmt.Sprint(exchanges), func(b *testing.B) {
+			c := New(settings(), 7)
+			now := 100 * time.Second
+			var l List
+			for i := 0; i < exchanges; i++ {
+				l.Entries = append(l.Entries, Entry{Exchange: id(i), Number: i, Phase: Ready})
+			}
+			c.Feed(now, l)
+			for i := 1; i < exchanges; i++ {
+				rep := NoReport
+				rep.Free, rep.Size = 0, 10
+				c.Feed(now, Reported{Exchange: id(i), Outcome: Completed, Report: rep})
+			}
+			b.ResetTimer()
+			for i := 0; i < b.N; i++ {
+				now += 100 * ms
+				c.Feed(now, Offer{Call: CallID(i), Patience: 100 * ms, Dest: 1 + i%(exchanges-1), Width: 1, Advised: Unknown})
+				c.Feed(now, TimerDue{tokenTick})
+			}
+		})
+	}
+}
+
 // A proxy that starts in a jam must not take its first slow answers for the normal time.
 func TestStartInAJam(t *testing.T) {
 	r := newRig(t, settings())
