--- a/decide/decide.go
+++ b/decide/decide.go
@@ -39,7 +39,9 @@
 	newest       = 0.6                     // weight of the newest wait against those before
 	easyShare    = 0.15                    // an expected set-up time of this share of an aim is no pressure
 	knownShare   = 0.19                    // over this, tandems known to have room are left out,
-	guessShare   = 0.09                    // over this the others, for pairs that have a group
+	guessShare   = 0.09                    // over this the others too, if the pair has a group,
+	goodOdds     = 0.5                     // while less than this part of tandem attempts stand,
+	oddsOver     = 10                      // of about so many
 	pressRange   = 0.5                     // over this further share more and more calls are refused
 	leastRange   = 0.4                     // calls of little worth get at least this part of it
 	worthiest    = 2.5                     // and worthier calls up to this many times
@@ -73,7 +75,7 @@
 		c.widest = max(c.widest, s.Classes[i].Width)
 		c.minAim = min(c.minAim, s.Classes[i].Aim)
 	}
-	c.meanWorth = s.Classes[0].Worth
+	c.meanWorth, c.carriedShare = s.Classes[0].Worth, 1
 	return c
 }
 
@@ -154,6 +156,7 @@
 		c.answered(k.to, e.Took)
 	} else if to := c.far[k.dest]; to != nil {
 		to.carried(k.to)
+		c.carriedShare += (1 - c.carriedShare) / oddsOver
 	}
 }
 
@@ -343,13 +346,14 @@
 
 // chooseTandem picks the tandem to try next: the first in order that can be tried. Exceptions to the design:
 // a call that its pair's tandem turned back, or that none in order takes, goes over the one a centre advises;
-// and overflow of a group goes only in calm over one that did not carry the last such call, as most of these
-// attempts are turned back and their work feeds a jam. Harms where room lies behind ways never tried.
+// and while most tandem attempts are turned back, overflow of a group goes only in calm over one that did not
+// carry the last such call: the work of these attempts feeds jams. Harms where room lies behind untried ways.
 func (c *Controller) chooseTandem(k *call, to *neighbour) *neighbour {
 	if c.minor(k) || len(k.tandems) >= maxTandems || !c.s.Pools && c.bound(to, knownShare) {
 		return nil
 	}
-	list, calm := c.tandems(to), to.size <= 0 || c.s.Pools || !c.bound(to, guessShare)
+	anyWay := to.size <= 0 || c.carriedShare >= goodOdds
+	list, calm := c.tandems(to), anyWay || c.s.Pools || !c.bound(to, guessShare)
 	var advised *neighbour
 	if i := to.tandem(k.advised); i >= 0 && c.takesTandem(k, list[i].via, knownShare) {
 		advised = list[i].via
@@ -359,7 +363,7 @@
 	}
 	for _, t := range list {
 		share := knownShare
-		if !t.carried && to.size > 0 {
+		if !t.carried && !anyWay {
 			share = guessShare
 		}
 		passed := t.until > c.now && t.untilCall > to.calls
@@ -755,6 +759,7 @@
 		c.atLeast(&to.load, fullWait*c.minAim.Seconds())
 	case k.isTandem && (e.Outcome == Full || e.Outcome == TimedOut):
 		end.passOver(to, c.now+turnedFor, end.calls+turnedCalls)
+		c.carriedShare -= c.carriedShare / oddsOver
 	case e.Outcome == TimedOut && !k.isTandem && k.sentAt < to.overtook:
 		// Its answer was lost: later set-ups were answered.
 	case e.Outcome == TimedOut, e.Outcome == Unreachable:
--- a/decide/state.go
+++ b/decide/state.go
@@ -32,13 +32,14 @@
 	busy    map[uint64]time.Duration // numbers with all lines busy, until when
 	tries   map[uint64]time.Duration // first tries of calls turned away, by number called
 
-	meanWorth float64       // of calls offered
-	trialAt   time.Duration // the next trial of any far end
-	notes     int           // lines written
-	fails     int           // late or missing answers in a row, from all far ends
-	sights    [sightCount]sight
-	seen      int     // sights ever taken
-	common    float64 // the wait that most answers showed lately, in seconds
+	meanWorth    float64       // of calls offered
+	carriedShare float64       // of tandem attempts, the newest most
+	trialAt      time.Duration // the next trial of any far end
+	notes        int           // lines written
+	fails        int           // late or missing answers in a row, from all far ends
+	sights       [sightCount]sight
+	seen         int     // sights ever taken
+	common       float64 // the wait that most answers showed lately, in seconds
 }
 
 // exchange is one processor on the list.
