--- a/decide/decide.go
+++ b/decide/decide.go
@@ -38,9 +38,9 @@
 	sightLeast   = 3                       // where there are so many
 	newest       = 0.6                     // weight of the newest wait against those before
 	easyShare    = 0.15                    // an expected set-up time of this share of an aim is no pressure
-	knownShare   = 0.19                    // over this, tandems known to have room are left out,
-	guessShare   = 0.09                    // over this the others too, if the pair has a group,
-	goodOdds     = 0.5                     // while less than this part of tandem attempts stand,
+	planShare    = 0.25                    // over this no tandem is tried for a pair without a group,
+	guessShare   = 0.09                    // over this none not known to have room, for a pair with one,
+	goodOdds     = 0.5                     // while less than this part of the tandem attempts stand,
 	oddsOver     = 10                      // of about so many
 	pressRange   = 0.5                     // over this further share more and more calls are refused
 	leastRange   = 0.4                     // calls of little worth get at least this part of it
@@ -348,21 +348,26 @@
 // a call that its pair's tandem turned back, or that none in order takes, goes over the one a centre advises;
 // and while most tandem attempts are turned back, overflow of a group goes only in calm over one that did not
 // carry the last such call: the work of these attempts feeds jams. Harms where room lies behind untried ways.
+// A pair without a group is planned over a tandem, so its calls bear more wait than overflow does.
 func (c *Controller) chooseTandem(k *call, to *neighbour) *neighbour {
-	if c.minor(k) || len(k.tandems) >= maxTandems || !c.s.Pools && c.bound(to, knownShare) {
+	most := easyShare
+	if to.size <= 0 {
+		most = planShare
+	}
+	if c.minor(k) || len(k.tandems) >= maxTandems || !c.s.Pools && c.bound(to, most) {
 		return nil
 	}
 	anyWay := to.size <= 0 || c.carriedShare >= goodOdds
 	list, calm := c.tandems(to), anyWay || c.s.Pools || !c.bound(to, guessShare)
 	var advised *neighbour
-	if i := to.tandem(k.advised); i >= 0 && c.takesTandem(k, list[i].via, knownShare) {
+	if i := to.tandem(k.advised); i >= 0 && c.takesTandem(k, list[i].via, most) {
 		advised = list[i].via
 	}
 	if advised != nil && len(k.tandems) > 0 {
 		return advised
 	}
 	for _, t := range list {
-		share := knownShare
+		share := most
 		if !t.carried && !anyWay {
 			share = guessShare
 		}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -747,7 +747,9 @@
 		{"some wait, way known", 0.3, 0.12, true, 40, Unknown, true},
 		{"some wait, way advised", 0.3, 0.12, false, 40, 3, true},
 		{"some wait, no group", 0.3, 0.12, false, 0, Unknown, true},
-		{"pressed, way known", 0.7, 0.4, true, 40, Unknown, false},
+		{"more wait", 0.7, 0.2, true, 40, Unknown, false},
+		{"more wait, no group", 0.3, 0.2, false, 0, Unknown, true},
+		{"pressed, no group", 0.7, 0.4, true, 0, Unknown, false},
 	} {
 		r := newRig(t, settings())
 		r.c.carriedShare = tc.odds
