--- a/decide/decide.go
+++ b/decide/decide.go
@@ -24,7 +24,7 @@
 	tandemWait  = 0.55 // time-out of a tandem attempt, in aims: leaves room for another route
 	directWait  = 1.2  // time-out of a direct attempt where set-ups are not resent, in aims
 	turnedFor   = 20 * time.Second
-	turnedCalls = 30
+	turnedCalls = 12
 	// A tandem that turned a call back is passed over for that exchange this long or so many calls: a fifth
 	// of the next attempts over it stand then, over half of those over one that carried the last call.
 
