--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -954,6 +954,22 @@
 	}
 }
 
+// What a starting processor's part saves up in an idle while is no burst.
+func TestIdlePartOfAStartingProcessorIsNoBurst(t *testing.T) {
+	r := newRig(t, settings())
+	r.feed(List{Kind: ListChanges, Entries: []Entry{{Exchange: id(2), Number: 2, Phase: Ready, Started: r.now}}})
+	r.run(8 * time.Second)
+	n := 0
+	for call := CallID(1); call <= 10; call++ {
+		if sent(r.offer(call, 2)) == 2 {
+			n++
+		}
+	}
+	if n < 1 || n > 2 {
+		t.Fatalf("%d set-ups at once after 8 s without a call, want one or two", n)
+	}
+}
+
 // Ninety proxies with thin pairs to a starting processor do not send it their first call all at once.
 func TestManyProxiesStartAProcessorGently(t *testing.T) {
 	const proxies, size = 90, 4.0
