Starts long ago are long ago; the own switch's size is told; answers may wait for records

Need: every start of a router refused calls to warm processors for cold_for, since a start before the router's own was put at 1 ns on the module's clock, and the own exchange had no size for the module to go by.

Change: the module's clock runs ahead by cold_for, so a start five seconds before the router's is five seconds old; registry.Starts weighs stamps against what the router saw itself, whatever the clocks; the own switch's circuits are told through Reported. Groundwork for call records: attempts, bearers and the way an end is known in call.Record, and final answers that can wait until their record is durable.

--- a/cmd/pipitring/day.go
+++ b/cmd/pipitring/day.go
@@ -33,8 +33,8 @@
 				return err
 			}
 			if front != "" {
-				if !slices.Contains(lab.FrontNames, front) {
-					return fmt.Errorf("--front: %q is none of %s", front, strings.Join(lab.FrontNames, ", "))
+				if err := checkFront(front); err != nil {
+					return err
 				}
 				script.Fleet.Front = front
 			}
@@ -65,6 +65,13 @@
 	return c
 }
 
+func checkFront(front string) error {
+	if !slices.Contains(lab.FrontNames, front) {
+		return fmt.Errorf("--front: %q is none of %s", front, strings.Join(lab.FrontNames, ", "))
+	}
+	return nil
+}
+
 func printJSON(v any) error { return json.NewEncoder(os.Stdout).Encode(v) }
 
 func printDay(w io.Writer, r *lab.DayResult) {
--- a/cmd/pipitring/lab.go
+++ b/cmd/pipitring/lab.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -14,7 +15,7 @@
 	c := &cobra.Command{Use: "lab", Short: "Load and experiments", RunE: func(cmd *cobra.Command, _ []string) error {
 		return fmt.Errorf("an experiment is needed: see %s --help", cmd.CommandPath())
 	}}
-	c.AddCommand(labCalls(), labFronts(), labFailover())
+	c.AddCommand(labCalls(), labFronts(), labFailover(), labStart())
 	return c
 }
 
@@ -102,3 +103,38 @@
 	c.Flags().DurationVar(&length, "length", 4*time.Second, "of the calls; the cut is in the middle")
 	return c
 }
+
+func labStart() *cobra.Command {
+	var asJSON bool
+	o := lab.StartOptions{Progress: os.Stderr}
+	c := &cobra.Command{Use: "start", Args: cobra.NoArgs,
+		Short: "The share of calls answered in the first 20 s after a start, second by second",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := checkFront(o.Front); err != nil {
+				return err
+			}
+			r, err := lab.Start(cmd.Context(), o)
+			if err != nil {
+				return err
+			}
+			if asJSON {
+				err = printJSON(r)
+			} else {
+				for _, c := range r.Cases {
+					fmt.Printf("%s: %.3f of %d tries answered in the first 20 s; rules broken %d, switches pushed over %d\n ", c.Case, c.Share,
+						c.Calls, c.RulesBroken, c.SwitchesFell)
+					for _, s := range c.BySecond {
+						fmt.Printf(" %.2f", s)
+					}
+					fmt.Println()
+				}
+			}
+			if err == nil && r.RulesBroken > 0 {
+				err = errBroken
+			}
+			return err
+		}}
+	c.Flags().BoolVar(&asJSON, "json", false, "print one JSON object")
+	c.Flags().StringVar(&o.Front, "front", "iax2", "between routers: "+strings.Join(lab.FrontNames, ", "))
+	return c
+}
--- a/internal/call/core.go
+++ b/internal/call/core.go
@@ -14,7 +14,9 @@
 	Decide decide.Settings
 	Seed   uint64 // of the module's random choices
 	Groups map[int]int
-	Plan   *Plan
+	// Own is the number of circuits to the own switch, or of its lines where they are only counted; 0 is not known.
+	Own  int
+	Plan *Plan
 	// Patience is how long callers of each class wait before they give up one try.
 	Patience []time.Duration
 	// Margin is taken off it, so that the answer is with the caller in time.
@@ -22,6 +24,8 @@
 	// DrainGrace is how long after a drain was told a set-up may still reach the exchange.
 	DrainGrace time.Duration
 	MaxCalls   int // at once; 0 is no limit
+	// Prove holds final answers back until Durable tells that their record is, for this long at the most; 0 is not.
+	Prove time.Duration
 }
 
 // Core is the call state of one router.
@@ -42,6 +46,13 @@
 	pending  []decide.Event
 	feeding  bool
 	closing  bool
+	shut     bool              // no new calls for a while
+	seq      uint64            // calls taken
+	ticket   uint64            // records made
+	held     []*held           // answers that wait for their record, oldest first
+	ownUsed  int               // circuits of legs to the own switch
+	ownTold  decide.ExchangeID // the own processor that the module was told the size of,
+	ownFree  int               // and its free circuits then
 }
 
 // listed is an exchange on the list, and when this router was told of its phase.
@@ -53,8 +64,9 @@
 // call is one call that this router has taken and not finished.
 type call struct {
 	id       decide.CallID
+	seq      uint64
 	request  Request
-	origin   int
+	origin   Origin
 	class    int
 	tenant   int
 	dest     int
@@ -64,8 +76,12 @@
 	offered  time.Duration
 	deadline time.Duration // of the final answer
 	answered time.Duration
+	proving  bool    // answered, and its record not durable yet
+	farEnd   *farEnd // what the far end did meanwhile
 	stood    bool
 	attempts int
+	tried    []Attempt
+	first    [1]Attempt // most calls need no more
 	last     decide.Outcome
 	cause    Cause // the far end gave with it
 	limit    timers.Entry[func(time.Duration)]
@@ -83,9 +99,14 @@
 	heard    bool // the far end showed that it has the set-up
 	tandem   bool
 	attempt  int
+	tried    int // its place among the call's
 	sent     time.Duration
 }
 
+// Clock is now on the module's clock, on which 0 is long ago. It runs ahead of the router's by the time that a processor
+// takes to be warm, so that a start shortly before the router's own has a time above 0 on it.
+func (c *Core) Clock(now time.Duration) time.Duration { return now + c.set.Decide.ColdFor + 1 }
+
 // New returns a core without calls. Its settings must be valid.
 func New(s Settings) *Core {
 	c := &Core{set: s, ctl: decide.New(s.Decide, s.Seed), groups: trunk.NewBook(s.Groups),
@@ -94,8 +115,8 @@
 }
 
 // Reset takes new settings for calls that come from now on; the module and its beliefs stay.
-func (c *Core) Reset(now time.Duration, plan *Plan, groups map[int]int, maxCalls int) {
-	c.set.Plan, c.set.MaxCalls = plan, maxCalls
+func (c *Core) Reset(now time.Duration, plan *Plan, groups map[int]int, own, maxCalls int) {
+	c.set.Plan, c.set.MaxCalls, c.set.Own = plan, maxCalls, own
 	c.groups.Resize(groups)
 	c.run(now)
 }
@@ -109,6 +130,9 @@
 // Close refuses new calls from now on; those taken go on.
 func (c *Core) Close() { c.closing = true }
 
+// Shut refuses new calls, or takes them again; what refuses them is not what Close does: it may pass.
+func (c *Core) Shut(shut bool) { c.shut = shut }
+
 // Open is the number of calls taken and not finished, Legs that of legs which any end still holds.
 func (c *Core) Open() int { return len(c.calls) }
 
@@ -207,22 +231,31 @@
 		}
 		e := c.pending[0]
 		c.pending = append(c.pending[:0], c.pending[1:]...)
-		for _, a := range c.ctl.Feed(now, e) {
+		for _, a := range c.ctl.Feed(c.Clock(now), e) {
 			c.carryOut(now, a)
 		}
 	}
 	c.feeding = false
 }
 
-// tellCircuits reports groups whose circuits changed.
+// tellCircuits reports groups whose circuits changed, and what the own switch has: no group leads there, and its size
+// is what the module goes by while a processor is cold.
 func (c *Core) tellCircuits() {
 	c.groups.Changed(func(g *trunk.Group) {
 		if x := c.processorAt(g.Far()); x != nil {
 			c.feed(decide.Reported{Exchange: x.Exchange, Outcome: decide.Completed, Report: c.report(g)})
 		}
 	})
+	if x := c.processorAt(c.set.Decide.Own); c.set.Own > 0 && x != nil && (x.Exchange != c.ownTold || c.ownFree != c.ownRoom()) {
+		c.ownTold, c.ownFree = x.Exchange, c.ownRoom()
+		r := decide.NoReport
+		r.Free, r.Size = float64(c.ownFree), float64(c.set.Own)
+		c.feed(decide.Reported{Exchange: x.Exchange, Outcome: decide.Completed, Report: r})
+	}
 }
 
+func (c *Core) ownRoom() int { return max(0, c.set.Own-c.ownUsed) }
+
 // processorAt finds an exchange of a number on the list: the least of several, so that runs agree.
 func (c *Core) processorAt(number int) *listed {
 	var best *listed
--- a/internal/call/flow.go
+++ b/internal/call/flow.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"pipitring/decide"
@@ -27,6 +28,8 @@
 		return turn(Unallocated, "no exchange serves this number")
 	case c.closing:
 		return turn(Congestion, "the router is closing")
+	case c.shut:
+		return turn(Congestion, "no records can be kept now")
 	case c.set.MaxCalls > 0 && len(c.calls) >= c.set.MaxCalls:
 		return turn(Congestion, "too many calls")
 	case over && dest != c.set.Decide.Own && r.Passed:
@@ -40,8 +43,10 @@
 		in.group, in.width = g, width
 	}
 	patience := max(0, c.set.Patience[class]-c.set.Margin)
-	k := &call{id: c.nextCall(), request: r, origin: from.Exchange, class: class, tenant: tenant, dest: dest,
+	c.seq++
+	k := &call{id: c.nextCall(), seq: c.seq, request: r, origin: from, class: class, tenant: tenant, dest: dest,
 		width: width, transit: over, in: in, offered: now, deadline: now + patience}
+	k.tried = k.first[:0]
 	k.limit.Value = func(now time.Duration) { c.timeOut(now, k) }
 	k.watch.Value = func(now time.Duration) { c.overdue(now, k) }
 	in.call = k
@@ -77,7 +82,12 @@
 	ended.Attempt = k.attempts
 	k.attempts++
 	k.last, k.cause = decide.NotSent, 0
+	k.tried = append(k.tried, Attempt{Exchange: decide.Unknown, Processor: a.Exchange, Sent: now, Outcome: decide.NotSent})
+	try := &k.tried[len(k.tried)-1]
 	x := c.list[a.Exchange]
+	if x != nil {
+		try.Exchange, try.Tandem = x.Number, x.Number != k.dest
+	}
 	if x == nil || k.attempts > c.set.Decide.MaxAttempts || now >= k.deadline {
 		c.feed(ended)
 		return
@@ -90,11 +100,14 @@
 			c.feed(ended)
 			return
 		}
+	} else {
+		c.ownUsed += k.width
 	}
 	c.Stats.Attempts++
 	c.lastLeg++
 	l := &leg{id: c.lastLeg, call: k, exchange: a.Exchange, group: g, width: k.width, attempt: ended.Attempt,
-		tandem: x.Number != k.dest, sent: now}
+		tried: len(k.tried) - 1, tandem: try.Tandem, sent: now}
+	try.Outcome = 0
 	c.legs[l.id] = l
 	k.out = l
 	limit := k.deadline
@@ -107,6 +120,19 @@
 	c.out(Output{Kind: Connect, Leg: l.id, Exchange: a.Exchange, Request: r})
 }
 
+// Carried tells what carries a leg that was to be set up.
+func (c *Core) Carried(id Leg, b Bearer) {
+	if l := c.legs[id]; l != nil && l.call != nil && !l.incoming {
+		l.call.tried[l.tried].Bearer = b
+	}
+}
+
+// tell notes an attempt's outcome for the record.
+func (l *leg) tell(now time.Duration, o decide.Outcome, cause Cause) {
+	t := &l.call.tried[l.tried]
+	t.Outcome, t.Cause, t.Took = o, cause, now-l.sent
+}
+
 // Heard tells that the far end of a leg has the set-up.
 func (c *Core) Heard(now time.Duration, id Leg) {
 	if l := c.legs[id]; l != nil {
@@ -130,15 +156,33 @@
 // changes nothing; its release is on the way.
 func (c *Core) Answered(now time.Duration, id Leg) {
 	l := c.legs[id]
-	if l == nil || l.call == nil || l.call.out != l || l.call.stood {
+	if l == nil || l.call == nil || l.call.out != l || l.call.stood || l.call.proving {
 		return
 	}
 	k := l.call
-	l.heard, k.stood, k.answered = true, true, now
+	l.heard = true
 	c.queue.Stop(&k.limit)
+	l.tell(now, decide.Completed, 0)
+	k.answered = now
+	ticket := c.record(now, k, Record{Kind: Began})
+	if c.set.Prove > 0 {
+		k.proving = true
+		c.hold(now, &held{ticket: ticket, call: k})
+		return
+	}
+	c.stand(now, k)
+}
+
+// stand lets the answer through to the caller.
+func (c *Core) stand(now time.Duration, k *call) {
+	l := k.out
+	k.proving, k.stood = false, true
 	c.queue.Stop(&k.watch)
 	c.out(Output{Kind: Answer, Leg: k.in.id, Other: l.id})
-	c.feed(decide.Standing{Call: k.id, Attempt: l.attempt, Exchange: l.exchange, Took: now - l.sent})
+	c.feed(decide.Standing{Call: k.id, Attempt: l.attempt, Exchange: l.exchange, Took: k.answered - l.sent})
+	if e := k.farEnd; e != nil {
+		c.standingOver(now, k, l, e.cause, e.lost)
+	}
 	c.run(now)
 }
 
@@ -155,6 +199,8 @@
 		c.standingOver(now, k, l, cause, false)
 	case l.incoming:
 		c.callerLeft(now, k, cause)
+	case k.proving:
+		k.farEnd = &farEnd{cause: cause}
 	default:
 		o, why := outcome(cause, l.tandem)
 		c.attemptOver(now, l, o, why, cause, 0)
@@ -175,6 +221,10 @@
 		c.standingOver(now, k, l, OutOfOrder, true)
 	case l.incoming:
 		c.callerLeft(now, k, OutOfOrder)
+	case k.proving:
+		if k.farEnd == nil {
+			k.farEnd = &farEnd{OutOfOrder, true}
+		}
 	case reset:
 		c.attemptOver(now, l, decide.Cut, decide.CauseUnknown, 0, 0)
 	default:
@@ -193,6 +243,9 @@
 		c.Lost(now, id, true)
 	}
 	delete(c.legs, id)
+	if l.group == nil && !l.incoming {
+		c.ownUsed -= l.width
+	}
 	if l.group != nil {
 		if l.incoming {
 			l.group.ReleaseIn(l.width)
@@ -214,6 +267,7 @@
 // has ended it already.
 func (c *Core) attemptOver(now time.Duration, l *leg, o decide.Outcome, why decide.Cause, cause, release Cause) {
 	k := l.call
+	l.tell(now, o, cause)
 	c.detach(l, release)
 	c.queue.Stop(&k.limit)
 	k.last, k.cause = o, cause
@@ -238,7 +292,11 @@
 	c.feed(decide.CallerLeft{Call: k.id})
 	c.cancel(now, k)
 	c.detach(k.in, 0)
-	c.over(now, k, Left, cause)
+	known := ByCaller
+	if cause == OutOfOrder {
+		known = ByLoss
+	}
+	c.over(now, k, Left, cause, known)
 }
 
 // cancel calls off the attempt that is out, if any; no answer is owed any more.
@@ -247,6 +305,7 @@
 	if l == nil {
 		return
 	}
+	l.tell(now, decide.Cancelled, 0)
 	c.detach(l, NormalClearing)
 	c.feed(decide.Ended{Call: k.id, Attempt: l.attempt, Exchange: l.exchange, Outcome: decide.Cancelled,
 		Took: now - l.sent, Concluded: true, Report: c.report(l.group)})
@@ -259,15 +318,19 @@
 	if lost || cause != NormalClearing && cause != NormalUnspec && cause != 0 {
 		end, o = CutOff, decide.Cut
 	}
-	other := k.in
+	other, known := k.in, ByFarEnd
 	if by == k.in {
-		other = out
+		other, known = out, ByCaller
 	}
+	if lost {
+		known = ByLoss
+	}
+	k.tried[out.tried].Took = k.answered - out.sent
 	c.detach(by, 0)
 	c.detach(other, max(cause, NormalClearing))
 	c.feed(decide.Ended{Call: k.id, Attempt: out.attempt, Exchange: out.exchange, Outcome: o,
 		Took: now - out.sent, Concluded: true, Report: c.report(out.group)})
-	c.over(now, k, end, cause)
+	c.over(now, k, end, cause, known)
 }
 
 // finish gives the final answer that the module decided. Whether it is a refusal or a failure is what its cause says:
@@ -291,8 +354,13 @@
 		end = Refused
 	}
 	c.detach(k.in, 0)
-	c.out(Output{Kind: Release, Leg: k.in.id, Cause: cause, Text: text})
-	c.over(now, k, end, cause)
+	ticket := c.over(now, k, end, cause, ByRouter)
+	release := Output{Kind: Release, Leg: k.in.id, Cause: cause, Text: text}
+	if c.set.Prove > 0 {
+		c.hold(now, &held{ticket: ticket, release: release})
+		return
+	}
+	c.out(release)
 }
 
 // overdue answers a call that the module left unanswered, so that the caller is not left waiting.
@@ -300,25 +368,42 @@
 	if k.stood {
 		return
 	}
+	if k.proving { // the answer is here, only its record is not: the caller's time goes before
+		c.Stats.Unproven++
+		c.stand(now, k)
+		return
+	}
 	c.Stats.Overdue++
 	c.feed(decide.CallerLeft{Call: k.id})
 	c.cancel(now, k)
 	c.detach(k.in, 0)
 	c.out(Output{Kind: Release, Leg: k.in.id, Cause: TimerExpired})
-	c.over(now, k, Failed, TimerExpired)
+	c.over(now, k, Failed, TimerExpired, ByTimer)
 }
 
-// over takes a finished call off the books.
-func (c *Core) over(now time.Duration, k *call, end End, cause Cause) {
+// over takes a finished call off the books; it returns the ticket of its record.
+func (c *Core) over(now time.Duration, k *call, end End, cause Cause, known Known) uint64 {
 	c.queue.Stop(&k.limit)
 	c.queue.Stop(&k.watch)
 	delete(c.calls, k.id)
 	c.Stats.Ends[end]++
-	r := Record{Call: k.id, Origin: k.origin, Class: k.class, Tenant: k.tenant, Dest: k.dest, Transit: k.transit,
-		End: end, Cause: cause, Attempts: k.attempts, Offered: k.offered, Called: k.request.Called,
-		Calling: k.request.Calling}
-	if k.stood {
+	return c.record(now, k, Record{End: end, Cause: cause, Known: known})
+}
+
+// record fills in what is known of a call and keeps the record for the user.
+func (c *Core) record(now time.Duration, k *call, r Record) uint64 {
+	c.ticket++
+	r.Call, r.Seq, r.Ticket = k.id, k.seq, c.ticket
+	r.Origin, r.Bearer = k.origin.Exchange, k.origin.Bearer
+	r.Class, r.Tenant, r.Dest, r.Width, r.Transit = k.class, k.tenant, k.dest, k.width, k.transit
+	r.Offered, r.Called, r.Calling, r.User, r.Context = k.offered, k.request.Called, k.request.Calling, k.request.User, k.request.Context
+	r.Attempts = k.tried
+	if r.Kind == Began {
+		r.Attempts = slices.Clone(k.tried) // the call goes on
+	}
+	if k.stood || r.Kind == Began {
 		r.SetUp, r.Length = k.answered-k.offered, now-k.answered
 	}
 	c.Records = append(c.Records, r)
+	return c.ticket
 }
--- a/internal/call/model.go
+++ b/internal/call/model.go
@@ -27,6 +27,13 @@
 // Origin tells where a call came from.
 type Origin struct {
 	Exchange int // number of the exchange whose trunk group it came over; Subscriber if none
+	Bearer   Bearer
+}
+
+// Bearer is what carries a leg: the front's name, and the circuit it is on, 0 where circuits have no identity.
+type Bearer struct {
+	Front   string
+	Circuit int
 }
 
 // Subscriber is the origin of calls that came over no trunk group.
@@ -70,22 +77,63 @@
 	return [...]string{"none", "stood", "cut", "refused", "failed", "left"}[e]
 }
 
-// Record tells of one call that is over.
+// RecordKind tells at which moment of its call a Record was made.
+type RecordKind uint8
+
+// Kinds of Record.
+const (
+	Ended RecordKind = iota // the call is over
+	Began                   // it is answered; its Ended follows
+)
+
+// Known tells how the end of a call is known.
+type Known uint8
+
+// Ways to know a call's end.
+const (
+	ByRouter Known = iota + 1 // this router gave the final answer
+	ByCaller                  // the caller's end released it
+	ByFarEnd                  // the far end released it
+	ByLoss                    // an end was lost
+	ByTimer                   // the watchdog ended it
+)
+
+// Attempt is one set-up of a call, or one that could not leave.
+type Attempt struct {
+	Exchange  int // number it was sent to
+	Processor decide.ExchangeID
+	Tandem    bool
+	Bearer    Bearer
+	Sent      time.Duration // clock
+	Took      time.Duration // until its end, or its answer
+	Outcome   decide.Outcome
+	Cause     Cause // the far end's, 0 if it gave none
+}
+
+// Record tells of one call.
 type Record struct {
+	Kind     RecordKind
 	Call     decide.CallID
+	Seq      uint64 // of calls taken since the start: never used twice, as Call may be
+	Ticket   uint64 // of the records made; see Core.Durable
 	Origin   int
+	Bearer   Bearer // of the caller's leg
 	Class    int
 	Tenant   int
 	Dest     int
+	Width    int
 	Transit  bool
 	End      End
 	Cause    Cause
-	Attempts int
+	Known    Known
+	Attempts []Attempt
 	Offered  time.Duration // clock
 	SetUp    time.Duration // from offer to answer, 0 if it never stood
 	Length   time.Duration // it stood for
 	Called   string
 	Calling  string
+	User     string
+	Context  string
 }
 
 // Stats count since the start.
@@ -96,5 +144,6 @@
 	Attempts  uint64
 	Overdue   uint64 // calls answered by the watchdog: a defect of the module
 	Withdrawn uint64 // set-ups called off at the end of a drain's grace
+	Unproven  uint64 // answers that went out before their record was durable
 	Faults    uint64 // actions of the module that could not be carried out: a defect
 }
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -236,7 +236,7 @@
 	if own.Front == FrontISUP && own.PointCode == 0 {
 		d.Report("switch.point_code", "the switch needs a point code of its own")
 	}
-	if own.Front == FrontISUP && own.Circuits < 1 {
+	if own.Circuits < 0 || own.Front == FrontISUP && own.Circuits < 1 {
 		d.Report("switch.circuits", "%d circuits", own.Circuits)
 	}
 	for i := range len(s.Group) + 1 {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -104,8 +104,8 @@
 	Connect   []netip.AddrPort `toml:"connect"`
 }
 
-// Switch sets the circuits to the own switch, where it speaks ISUP; without, it speaks IAX2 at the address on the
-// list.
+// Switch sets the circuits to the own switch where it speaks ISUP; without front it speaks IAX2 at the address on the
+// list, and circuits are its lines.
 type Switch struct {
 	Front     string           `toml:"front"`
 	PointCode uint32           `toml:"point_code"`
@@ -246,12 +246,25 @@
 	return d
 }
 
+// OwnCircuits is the size of the own switch: its circuits, or lines, as set; else as many as its groups bring calls
+// on, so that a cold switch is not taken for one of a single line.
+func (s *Settings) OwnCircuits() int {
+	if s.Switch.Circuits > 0 {
+		return s.Switch.Circuits
+	}
+	n := 0
+	for _, size := range s.Sizes {
+		n += size
+	}
+	return n
+}
+
 // Core puts them in the call core's terms; seed replaces a seed of 0.
 func (s *Settings) Core(seed uint64) call.Settings {
 	if s.Router.Seed != 0 {
 		seed = s.Router.Seed
 	}
-	c := call.Settings{Decide: s.Decide(), Seed: seed, Groups: s.Sizes, Plan: s.Plan, Margin: s.Router.AnswerMargin,
+	c := call.Settings{Decide: s.Decide(), Seed: seed, Groups: s.Sizes, Own: s.OwnCircuits(), Plan: s.Plan, Margin: s.Router.AnswerMargin,
 		DrainGrace: s.Rules.DrainGrace, MaxCalls: s.Router.MaxCalls}
 	for _, class := range s.Class {
 		c.Patience = append(c.Patience, class.Patience)
--- a/internal/front/iaxfront/front.go
+++ b/internal/front/iaxfront/front.go
@@ -20,6 +20,9 @@
 	routes  map[decide.ExchangeID]iax2.Addr
 }
 
+// bearer is what legs of this front go over: its circuits are counted and have no identity.
+var bearer = call.Bearer{Front: "iax2"}
+
 // New returns a front; own is the number of the own exchange, cfg the endpoint's settings. Routers of other
 // exchanges are trusted.
 func New(core *call.Core, own int, cfg iax2.Config) *Front {
@@ -69,7 +72,7 @@
 			origin = n
 		}
 		r := e.Request
-		leg = f.core.Offer(now, call.Origin{Exchange: origin}, call.Request{Called: r.Called, Calling: r.Calling,
+		leg = f.core.Offer(now, call.Origin{Exchange: origin, Bearer: bearer}, call.Request{Called: r.Called, Calling: r.Calling,
 			Name: r.CallingName, Context: r.Context, User: r.User, Passed: origin != call.Subscriber && r.Redirecting != ""})
 		e.Dialog.Ref = uint64(leg)
 		f.dialogs[leg] = e.Dialog
@@ -130,5 +133,6 @@
 	}
 	d.Ref = uint64(o.Leg)
 	f.dialogs[o.Leg] = d
+	f.core.Carried(o.Leg, bearer)
 	return true
 }
--- a/internal/front/isupfront/front.go
+++ b/internal/front/isupfront/front.go
@@ -117,6 +117,8 @@
 	return f
 }
 
+func bearer(k *isup.Call) call.Bearer { return call.Bearer{Front: "isup", Circuit: int(k.CIC())} }
+
 // Serves tells whether an exchange is reached by this front.
 func (f *Front) Serves(exchange int) bool { return f.group(exchange) != nil }
 
@@ -364,7 +366,7 @@
 	}
 	l := &leg{group: g, call: e.Call, incoming: true}
 	g.legs[e.Call] = l
-	l.id = f.core.Offer(now, call.Origin{Exchange: origin}, call.Request{Called: r.Called, Calling: r.Calling,
+	l.id = f.core.Offer(now, call.Origin{Exchange: origin, Bearer: bearer(e.Call)}, call.Request{Called: r.Called, Calling: r.Calling,
 		Context: r.User, Passed: r.Hops >= 0 && r.Hops < firstHops})
 	f.legs[l.id] = l
 	g.isup.Accept(now, e.Call) // the far end may stop T7: the call is taken, or its release follows at once
@@ -409,5 +411,6 @@
 	}
 	l := &leg{id: o.Leg, group: g, call: k}
 	g.legs[k], f.legs[o.Leg] = l, l
+	f.core.Carried(o.Leg, bearer(k))
 	return true
 }
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -68,6 +69,9 @@
 	return err
 }
 
+// longWarm is how long the processors of a fleet have run when it starts, as the list tells it.
+const longWarm = 5 * time.Hour
+
 // tapDelay is how much later a busy machine may record one datagram than another.
 const tapDelay = 40 * time.Millisecond
 
@@ -101,7 +105,8 @@
 			return f, err
 		}
 		sw := f.switches[x]
-		f.lines = append(f.lines, standin.Line{ID: sw.ID(), Exchange: x, Zone: f.region(x), Phase: "ready", Switch: sw.Addr()})
+		f.lines = append(f.lines, standin.Line{ID: sw.ID(), Exchange: x, Zone: f.region(x), Phase: "ready",
+			Started: time.Now().Add(-longWarm), Switch: sw.Addr()})
 		if f.at[x], err = freePort(); err != nil {
 			return f, err
 		}
@@ -266,8 +271,9 @@
 	if f.m3ua[x].IsValid() {
 		p("[m3ua]\nlisten = %q\n[isup]\nt1 = \"1s\"\nt5 = \"20s\"\nt16 = \"1s\"\nt17 = \"20s\"", f.m3ua[x])
 	}
+	p("[switch]\ncircuits = %d", s.Fleet.Lines)
 	if s.Fleet.Front == "m3ua" {
-		p("[switch]\nfront = \"isup\"\npoint_code = %d\ncircuits = %d", switchPoint(x), s.Fleet.Lines)
+		p("front = \"isup\"\npoint_code = %d", switchPoint(x))
 	}
 	for _, c := range s.Class {
 		p("[[class]]\nname = %q\nhold = %q\naim = %q\ndeadline = %q\npatience = %q\nworth = %v\nlate_worth = %v\ncontexts = [%q]",
@@ -303,6 +309,9 @@
 	}
 	f.routers[x] = r
 	f.notice(capture.Notice{Router: &capture.Life{Exchange: x, Up: true}})
+	if x < len(f.callers) {
+		f.callers[x].Watch()
+	}
 	return nil
 }
 
@@ -317,6 +326,17 @@
 	return r.Stop()
 }
 
+// killAll ends routers at the same time: one after the other would take seconds.
+func (f *fleet) killAll(at []int) error {
+	errs := make([]error, len(at))
+	var wg sync.WaitGroup
+	for i, x := range at {
+		wg.Go(func() { errs[i] = f.kill(x) })
+	}
+	wg.Wait()
+	return errors.Join(errs...)
+}
+
 // reload gives both ends of every group its present size.
 func (f *fleet) reload() error {
 	var errs []error
--- a/internal/lab/trouble.go
+++ b/internal/lab/trouble.go
@@ -113,6 +113,26 @@
 			}
 			return nil
 		})
+	case "cold_site":
+		return both(func(on bool) error {
+			if on {
+				for _, x := range at {
+					f.switches[x].Stop()
+					f.phase(x, "gone")
+				}
+				return f.killAll(at)
+			}
+			var errs []error
+			for _, x := range at {
+				f.replace(x)
+			}
+			for _, x := range at {
+				if f.routers[x] == nil {
+					errs = append(errs, f.startRouter(x))
+				}
+			}
+			return errors.Join(errs...)
+		})
 	case "peer_down":
 		return both(func(on bool) error {
 			var errs []error
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,6 +32,7 @@
 	isup  *isupfront.Front
 	set   Settings
 	list  registry.List
+	start registry.Starts
 	known bool              // a list has come
 	peers map[int]iax2.Addr // where each exchange's router was last known to be
 }
@@ -57,6 +58,9 @@
 // Dialogs is the number of dialogs that belong to a call's leg.
 func (n *Node) Dialogs() int { return n.front.Dialogs() }
 
+// Mistrusted counts starts on the list that no clock could have stamped rightly.
+func (n *Node) Mistrusted() uint64 { return n.start.Mistrusted }
+
 // List is the exchange list as this router last learnt it.
 func (n *Node) List() registry.List { return n.list }
 
@@ -78,6 +82,12 @@
 // Flush lets go what may ride together: to be called when all that came in has been received.
 func (n *Node) Flush(now time.Duration) { n.front.Endpoint().Flush(now) }
 
+// Durable tells that all records up to a ticket are.
+func (n *Node) Durable(now time.Duration, ticket uint64) {
+	n.Core.Durable(now, ticket)
+	n.pump(now)
+}
+
 // Next is when Advance has something to do.
 func (n *Node) Next() (at time.Duration, ok bool) {
 	at, ok = n.Core.Next()
@@ -98,13 +108,13 @@
 		news, kind = n.list.Changes(&l), decide.ListChanges
 	}
 	n.list, n.known = l, true
+	n.start.Learn(now, wall, n.set.Core.Decide.ColdFor, &l)
 	n.learnPeers()
 	event := decide.List{Kind: kind}
 	for _, e := range news {
-		started := time.Duration(0)
-		if !e.Started.IsZero() {
-			// At least 1: 0 means long ago on the module's clock.
-			started = max(1, now-wall.Sub(e.Started))
+		started := time.Duration(0) // long ago
+		if age := n.start.Age(now, e.ID); age < n.set.Core.Decide.ColdFor {
+			started = n.Core.Clock(now) - age
 		}
 		event.Entries = append(event.Entries, decide.Entry{Exchange: e.Exchange(), Number: e.Number,
 			Zone: n.zone(e.Zone), Phase: e.Phase, Started: started})
--- /dev/null
+++ b/internal/registry/starts_test.go
@@ -0,0 +1,104 @@
+package registry
+
+import (
+	"testing"
+	"time"
+
+	"pipitring/decide"
+)
+
+const coldFor = 15 * time.Second
+
+var wall0 = time.Date(2026, 12, 1, 14, 0, 0, 0, time.UTC)
+
+func listOf(entries ...Entry) *List { return &List{Entries: entries} }
+
+func TestStartsOnFirstList(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		stamp time.Time
+		want  time.Duration
+	}{
+		{"none", time.Time{}, LongAgo},
+		{"five hours ago", wall0.Add(-5 * time.Hour), LongAgo},
+		{"five seconds ago", wall0.Add(-5 * time.Second), 5 * time.Second},
+		{"at the edge", wall0.Add(-coldFor), LongAgo},
+		{"now", wall0, 0},
+		{"a little ahead", wall0.Add(3 * time.Second), 0},
+		{"hours ahead", wall0.Add(3 * time.Hour), LongAgo},
+		{"in the year 1", time.Time{}.Add(time.Hour), LongAgo},
+		{"far ahead", wall0.AddDate(400, 0, 0), LongAgo},
+	} {
+		var s Starts
+		s.Learn(time.Second, wall0, coldFor, listOf(Entry{ID: "a", Started: c.stamp}))
+		if got := s.Age(time.Second, "a"); got != c.want {
+			t.Errorf("%s: age %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+// What starts before the router's eyes is cold, whatever its clock says, and is as old as its stamp at the most.
+func TestStartsSeenByTheRouter(t *testing.T) {
+	old := Entry{ID: "old", Started: wall0.Add(-time.Hour)}
+	for _, c := range []struct {
+		name  string
+		stamp time.Time
+		want  time.Duration
+	}{
+		{"none", time.Time{}, 0},
+		{"clock behind by hours", wall0.Add(-3 * time.Hour), 0},
+		{"clock ahead by hours", wall0.Add(3 * time.Hour), 0},
+		{"told late", wall0.Add(9*time.Minute + 56*time.Second), 4 * time.Second},
+	} {
+		var s Starts
+		s.Learn(time.Second, wall0, coldFor, listOf(old))
+		now := time.Second + 10*time.Minute
+		s.Learn(now, wall0.Add(10*time.Minute), coldFor, listOf(old, Entry{ID: "new", Started: c.stamp}))
+		if got := s.Age(now, "new"); got != c.want {
+			t.Errorf("%s: age %v, want %v", c.name, got, c.want)
+		}
+		if got := s.Age(now, "old"); got != LongAgo {
+			t.Errorf("%s: the other is %v old", c.name, got)
+		}
+	}
+}
+
+// A processor keeps its id over a restart: a stamp that moves forward is one, one that moves back is old news.
+func TestStartsOfOneProcessor(t *testing.T) {
+	var s Starts
+	at := func(after time.Duration, phase decide.Phase, stamp time.Time) time.Duration {
+		s.Learn(time.Second+after, wall0.Add(after), coldFor, listOf(Entry{ID: "a", Phase: phase, Started: stamp}))
+		return s.Age(time.Second+after, "a")
+	}
+	first := wall0.Add(-time.Hour)
+	if got := at(0, decide.Ready, first); got != LongAgo {
+		t.Errorf("at first: %v", got)
+	}
+	if got := at(time.Minute, decide.Ready, wall0.Add(58*time.Second)); got != 2*time.Second {
+		t.Errorf("restarted: %v", got)
+	}
+	if got := at(time.Minute+time.Second, decide.Ready, first); got != 3*time.Second {
+		t.Errorf("an older list made it %v old", got)
+	}
+	if got := at(10*time.Minute, decide.Gone, first); got < coldFor {
+		t.Errorf("gone: %v", got)
+	}
+	if got := at(11*time.Minute, decide.Ready, wall0.Add(-2*time.Hour)); got != 0 {
+		t.Errorf("back from being gone with a clock set back: %v", got)
+	}
+	s.Learn(time.Hour, wall0.Add(time.Hour), coldFor, listOf())
+	s.Learn(3*time.Hour, wall0.Add(3*time.Hour), coldFor, listOf())
+	if len(s.known) != 0 {
+		t.Errorf("%d processors are remembered for ever", len(s.known))
+	}
+}
+
+// An empty first list is no list: what comes with the next was there before.
+func TestStartsAfterEmptyList(t *testing.T) {
+	var s Starts
+	s.Learn(time.Second, wall0, coldFor, listOf())
+	s.Learn(2*time.Second, wall0.Add(time.Second), coldFor, listOf(Entry{ID: "a", Started: wall0.Add(-time.Hour)}))
+	if got := s.Age(2*time.Second, "a"); got != LongAgo {
+		t.Errorf("age %v", got)
+	}
+}
--- a/internal/runtime/metrics.go
+++ b/internal/runtime/metrics.go
@@ -56,6 +56,7 @@
 	descCut      = desc("isup_setups_cut_total", "Set-ups ended because the last association was lost.")
 	descStranger = desc("m3ua_strangers_total", "Messages or connections of ends that no group leads to.")
 	descListAge  = desc("list_age_seconds", "Since the exchange list last came; -1 is never.")
+	descMistrust = desc("list_starts_mistrusted_total", "Starts on the exchange list that contradict this router's clock.")
 	descUp       = desc("loop_up", "1 while the event loop answers.")
 )
 
@@ -133,6 +134,7 @@
 	count(descRejected, iax.Rejected)
 	count(descStray, iax.Stray)
 	count(descDropped, m.dropped)
+	count(descMistrust, n.Mistrusted())
 	gauge(descListAge, m.s.listAge(now))
 	return out
 }
@@ -158,7 +160,7 @@
 		if e := s.log.Check(zap.DebugLevel, "final answer"); e != nil {
 			e.Write(zap.Uint32("call", uint32(r.Call)), zap.String("end", r.End.String()), zap.String("class", class),
 				zap.Uint8("cause", uint8(r.Cause)), zap.Int("dest", r.Dest), zap.Bool("transit", r.Transit),
-				zap.Int("attempts", r.Attempts), zap.Duration("setup", r.SetUp), zap.Duration("length", r.Length))
+				zap.Int("attempts", len(r.Attempts)), zap.Duration("setup", r.SetUp), zap.Duration("length", r.Length))
 		}
 	}
 	core.Records = core.Records[:0]
--- a/internal/runtime/server.go
+++ b/internal/runtime/server.go
@@ -329,7 +329,7 @@
 		return err
 	}
 	return s.Do(func(n *node.Node, now time.Duration) {
-		n.Core.Reset(now, next.Plan, next.Sizes, next.Router.MaxCalls)
+		n.Core.Reset(now, next.Plan, next.Sizes, next.OwnCircuits(), next.Router.MaxCalls)
 		s.log.Info("settings reloaded", zap.String("file", next.Path))
 	})
 }
--- a/internal/standin/callers.go
+++ b/internal/standin/callers.go
@@ -48,6 +48,8 @@
 	due        time.Duration // of the next first try
 	tries      int
 	tally      map[string]*Tally
+	seconds    []Tally // by the second of the dial, since Start
+	started    time.Duration
 	open       map[*iax2.Dialog]*try
 	registered bool
 }
@@ -91,7 +93,7 @@
 // Start begins to call.
 func (c *Callers) Start() {
 	c.host.Do(func() {
-		c.running, c.due = true, c.host.now()
+		c.running, c.due, c.started = true, c.host.now(), c.host.now()
 		if c.spec.Secret != "" {
 			c.register()
 		}
@@ -143,6 +145,27 @@
 	return out
 }
 
+// Watch begins to count by the second anew.
+func (c *Callers) Watch() { c.host.Do(func() { c.started, c.seconds = c.host.now(), nil }) }
+
+// Seconds reads the counters of tries by the second in which they were dialled, since Start or Watch.
+func (c *Callers) Seconds() (out []Tally) {
+	c.host.Do(func() { out = append(out, c.seconds...) })
+	return out
+}
+
+// second finds the counters of the second in which a try was dialled.
+func (c *Callers) second(t *try) *Tally {
+	if t.dialled < c.started {
+		return &Tally{} // dialled before the watch began: counted by nobody
+	}
+	i := int((t.dialled - c.started) / time.Second)
+	for len(c.seconds) <= i {
+		c.seconds = append(c.seconds, Tally{})
+	}
+	return &c.seconds[i]
+}
+
 func (c *Callers) register() {
 	const refresh = 10 * time.Second
 	if _, err := c.host.ep.Register(c.host.now(), c.router, c.spec.User, c.spec.Secret, refresh); err == nil {
@@ -206,6 +229,7 @@
 	c.tally[t.class.Name].Tries++
 	now := c.host.now()
 	t.dialled = now
+	c.second(t).Tries++
 	d, err := c.host.ep.Call(now, c.router, iax2.Request{Called: t.number, Context: t.class.Name,
 		Calling: fmt.Sprintf("%d%07d", 10+c.spec.Exchange, c.tries), User: c.spec.User, Secret: c.spec.Secret})
 	if err != nil {
@@ -249,6 +273,7 @@
 	case iax2.Answered:
 		t.answered = true
 		count.Stood++
+		c.second(t).Stood++
 		if c.spec.Answered != nil {
 			c.spec.Answered(c.host.now() - t.dialled)
 		}
