--- /dev/null
+++ b/internal/cdr/files.go
@@ -0,0 +1,204 @@
+package cdr
+
+import (
+	"crypto/sha256"
+	"encoding/csv"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/parquet-go/parquet-go"
+)
+
+// Format is the form of an exported file.
+type Format string
+
+// Formats.
+const (
+	CSV     Format = "csv"
+	Parquet Format = "parquet"
+)
+
+// ParseFormat reads a format's name.
+func ParseFormat(s string) (Format, error) {
+	if f := Format(s); f == CSV || f == Parquet {
+		return f, nil
+	}
+	return "", fmt.Errorf("%q is none of csv, parquet", s)
+}
+
+// row is a record as it is exported; the columns' order and names are a promise to readers.
+type row struct {
+	ID       string  `parquet:"id"`
+	Version  int32   `parquet:"version"`
+	End      string  `parquet:"end,dict"`
+	Cause    int32   `parquet:"cause"`
+	Known    string  `parquet:"known,dict"`
+	Class    string  `parquet:"class,dict"`
+	Tenant   string  `parquet:"tenant,dict"`
+	Called   string  `parquet:"called"`
+	Calling  string  `parquet:"calling"`
+	User     string  `parquet:"user,dict"`
+	Context  string  `parquet:"context,dict"`
+	Front    string  `parquet:"front,dict"`
+	Circuit  int32   `parquet:"circuit"`
+	Origin   int32   `parquet:"origin"`
+	Dest     int32   `parquet:"dest"`
+	Transit  bool    `parquet:"transit"`
+	Width    int32   `parquet:"width"`
+	Offered  string  `parquet:"offered"` // RFC 3339 in UTC
+	Answered string  `parquet:"answered"`
+	Ended    string  `parquet:"ended"`
+	Seen     string  `parquet:"seen"`
+	SetUp    float64 `parquet:"setup_s"`
+	Length   float64 `parquet:"length_s"`
+	Stepped  float64 `parquet:"stepped_s"`
+	Route    string  `parquet:"route"` // exchange:outcome of each attempt
+	Tariff   string  `parquet:"tariff,dict"`
+	Amount   string  `parquet:"amount"` // exact decimal
+	Currency string  `parquet:"currency,dict"`
+	Billed   float64 `parquet:"billed_s"`
+	Note     string  `parquet:"note,dict"`
+}
+
+var columns = []string{"id", "version", "end", "cause", "known", "class", "tenant", "called", "calling", "user", "context",
+	"front", "circuit", "origin", "dest", "transit", "width", "offered", "answered", "ended", "seen", "setup_s", "length_s",
+	"stepped_s", "route", "tariff", "amount", "currency", "billed_s", "note"}
+
+func stampOf(t time.Time) string {
+	if t.IsZero() {
+		return ""
+	}
+	return t.UTC().Format(time.RFC3339Nano)
+}
+
+func rowOf(r *Record) row {
+	var route []string
+	for _, a := range r.Attempts {
+		route = append(route, fmt.Sprintf("%d:%s", a.Exchange, a.Outcome))
+	}
+	c := &r.Charge
+	return row{r.ID.String(), int32(r.Version), r.End.String(), int32(r.Cause), r.Known.String(), r.Class, r.Tenant, r.Called,
+		r.Calling, r.User, r.Context, r.Front, int32(r.Circuit), int32(r.Origin), int32(r.Dest), r.Transit, int32(r.Width),
+		stampOf(r.Offered), stampOf(r.Answered), stampOf(r.Ended), stampOf(r.Seen), r.SetUp.Seconds(), r.Length.Seconds(),
+		r.Stepped.Seconds(), strings.Join(route, " "), c.Tariff, c.Amount, c.Currency, c.Billed.Seconds(), c.Note}
+}
+
+func (r row) fields() []string {
+	n := func(v int32) string { return strconv.Itoa(int(v)) }
+	x := func(v float64) string { return strconv.FormatFloat(v, 'f', -1, 64) }
+	return []string{r.ID, n(r.Version), r.End, n(r.Cause), r.Known, r.Class, r.Tenant, r.Called, r.Calling, r.User, r.Context,
+		r.Front, n(r.Circuit), n(r.Origin), n(r.Dest), strconv.FormatBool(r.Transit), n(r.Width), r.Offered, r.Answered,
+		r.Ended, r.Seen, x(r.SetUp), x(r.Length), x(r.Stepped), r.Route, r.Tariff, r.Amount, r.Currency, x(r.Billed), r.Note}
+}
+
+// WriteFile writes records in a format: the same bytes for the same records.
+func WriteFile(w io.Writer, f Format, records []*Record) error {
+	if f == Parquet {
+		p := parquet.NewGenericWriter[row](w, parquet.Compression(&parquet.Zstd), parquet.CreatedBy("pipitring", "", ""))
+		rows := make([]row, 0, len(records))
+		for _, r := range records {
+			rows = append(rows, rowOf(r))
+		}
+		if _, err := p.Write(rows); err != nil {
+			return err
+		}
+		return p.Close()
+	}
+	c := csv.NewWriter(w)
+	if err := c.Write(columns); err != nil {
+		return err
+	}
+	for _, r := range records {
+		if err := c.Write(rowOf(r).fields()); err != nil {
+			return err
+		}
+	}
+	c.Flush()
+	return c.Error()
+}
+
+// Manifest tells what an exported file holds. It appears after its file, whole: a file without one is not complete.
+type Manifest struct {
+	Batch   uint64   `json:"batch"` // 1 and up, without gaps
+	File    string   `json:"file"`
+	Format  Format   `json:"format"`
+	Router  uint32   `json:"router"`
+	Count   int      `json:"count"`
+	FirstID string   `json:"first_id"`
+	LastID  string   `json:"last_id"`
+	From    uint64   `json:"from_number"` // numbers in the store, both included
+	To      uint64   `json:"to_number"`
+	Missing []uint64 `json:"missing_numbers,omitempty"` // of them that could not be read
+	Bytes   int      `json:"bytes"`
+	SHA256  string   `json:"sha256"`
+}
+
+// BatchName is the name of a batch's file; its manifest's ends in .json in place of the format.
+func BatchName(router uint32, batch uint64, f Format) string {
+	return fmt.Sprintf("cdr-%d-%010d.%s", router, batch, f)
+}
+
+// ManifestName is the name of a file's manifest.
+func ManifestName(router uint32, batch uint64) string {
+	return fmt.Sprintf("cdr-%d-%010d.json", router, batch)
+}
+
+// Encode writes a manifest.
+func (m *Manifest) Encode() []byte {
+	b, err := json.MarshalIndent(m, "", "  ")
+	if err != nil {
+		panic(err) // strings and numbers only
+	}
+	return append(b, '\n')
+}
+
+// ParseManifest reads one.
+func ParseManifest(name string, b []byte) (*Manifest, error) {
+	var m Manifest
+	d := json.NewDecoder(strings.NewReader(string(b)))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&m); err != nil {
+		return nil, fmt.Errorf("%s: %w", name, err)
+	}
+	return &m, nil
+}
+
+// Sum is a file's checksum as manifests tell it.
+func Sum(b []byte) string {
+	s := sha256.Sum256(b)
+	return hex.EncodeToString(s[:])
+}
+
+// ReadIDs reads ids and versions from an exported file.
+func ReadIDs(f Format, b []byte) (ids []string, err error) {
+	if f == Parquet {
+		rows, err := parquet.Read[row](strings.NewReader(string(b)), int64(len(b)))
+		for _, r := range rows {
+			ids = append(ids, r.ID+"/"+strconv.Itoa(int(r.Version)))
+		}
+		return ids, err
+	}
+	c := csv.NewReader(strings.NewReader(string(b)))
+	head, err := c.Read()
+	if err != nil {
+		return nil, err
+	}
+	if strings.Join(head, ",") != strings.Join(columns, ",") {
+		return nil, fmt.Errorf("columns are not those of this program")
+	}
+	for {
+		r, err := c.Read()
+		if err == io.EOF {
+			return ids, nil
+		}
+		if err != nil {
+			return ids, err
+		}
+		ids = append(ids, r[0]+"/"+r[1])
+	}
+}
--- /dev/null
+++ b/internal/cdr/ledger.go
@@ -0,0 +1,302 @@
+package cdr
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+)
+
+// Keeper reads what is kept. A value is the callback's only during the call.
+type Keeper interface {
+	Get(key []byte) (value []byte, found bool, err error)
+	Scan(prefix, from []byte, f func(key, value []byte) error) error
+	Last(prefix []byte) (key, value []byte, found bool, err error)
+}
+
+// Batch takes changes that come to be together or not at all.
+type Batch interface {
+	Set(key, value []byte)
+	Delete(key []byte)
+}
+
+// Rater says what a call costs.
+type Rater interface{ Rate(r *Record) Charge }
+
+// Keys. Records lie under numbers without gaps, in the order in which they were written: what is missing shows. A
+// mark stands for a call that was answered and has no record yet.
+const (
+	prefixMark   = 'b' // id: the record as far as it is known
+	prefixNumber = 'n' // number: the record
+	prefixID     = 'i' // id and version: its number
+	prefixLife   = 'l' // life: when it began, and the last number before it
+	keyAlive     = "a" // when this life was last known to run
+	keyTrimmed   = "t" // the last number that was deleted after its export
+)
+
+// NumberKey is where the record with a number lies.
+func NumberKey(n uint64) []byte { return binary.BigEndian.AppendUint64([]byte{prefixNumber}, n) }
+
+// IDKey is where the number of a version of a call's record lies.
+func IDKey(id ID, version uint16) []byte {
+	return binary.BigEndian.AppendUint16(id.encode([]byte{prefixID}), version)
+}
+
+func markKey(id ID) []byte { return id.encode([]byte{prefixMark}) }
+
+func lifeKey(life uint32) []byte { return binary.BigEndian.AppendUint32([]byte{prefixLife}, life) }
+
+// Item is one thing to be written: an answered call's mark, or a call's record.
+type Item struct {
+	Began  bool
+	Record Record
+}
+
+// Ledger decides what is written for each item. Its methods that write put what they want into a batch: only once
+// that is durable it counts, and a batch that came to nothing must be followed by a new Ledger. It is not safe for
+// concurrent use.
+type Ledger struct {
+	keep   Keeper
+	router uint32
+	life   uint32
+	last   uint64 // the last number given
+	rater  Rater
+	buf    []byte
+	Closed int // calls closed by recovery
+}
+
+// ErrNumbers says that the store's numbers contradict each other.
+var ErrNumbers = errors.New("numbers of records contradict each other")
+
+// OpenLedger reads how far earlier lives came. Begin has to be committed before anything else is.
+func OpenLedger(k Keeper, router uint32, rater Rater) (*Ledger, error) {
+	l := &Ledger{keep: k, router: router, rater: rater}
+	key, _, found, err := k.Last([]byte{prefixNumber})
+	if err != nil {
+		return nil, err
+	}
+	if found {
+		l.last = binary.BigEndian.Uint64(key[1:])
+	}
+	trimmed, err := Trimmed(k)
+	if err != nil {
+		return nil, err
+	}
+	l.last = max(l.last, trimmed)
+	key, value, found, err := k.Last([]byte{prefixLife})
+	if err != nil {
+		return nil, err
+	}
+	if found {
+		l.life = binary.BigEndian.Uint32(key[1:])
+		if len(value) == 16 {
+			// Where records were lost since, their numbers are not given again: Verify shows the gap.
+			l.last = max(l.last, binary.BigEndian.Uint64(value[8:]))
+		}
+	}
+	return l, nil
+}
+
+// Begin starts a new life.
+func (l *Ledger) Begin(b Batch, wall time.Time) {
+	l.life++
+	b.Set(lifeKey(l.life), binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(nil, uint64(wall.UnixNano())), l.last))
+}
+
+// Life is the present one.
+func (l *Ledger) Life() uint32 { return l.life }
+
+// Last is the last number given.
+func (l *Ledger) Last() uint64 { return l.last }
+
+// ID names the how-manieth call of the present life.
+func (l *Ledger) ID(call uint64) ID { return ID{l.router, l.life, call} }
+
+// Alive notes that this life runs: what of it stands when it is killed stood until then at least.
+func (l *Ledger) Alive(b Batch, wall time.Time) {
+	b.Set([]byte(keyAlive), binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint32(nil, l.life), uint64(wall.UnixNano())))
+}
+
+// Put writes items in order.
+func (l *Ledger) Put(b Batch, items []Item) {
+	for i := range items {
+		r := &items[i].Record
+		if items[i].Began {
+			l.buf = r.Encode(l.buf[:0])
+			b.Set(markKey(r.ID), l.buf)
+			continue
+		}
+		l.put(b, r)
+		if !r.Answered.IsZero() || r.End == Left {
+			b.Delete(markKey(r.ID)) // a caller may have left between the answer's mark and the answer
+		}
+	}
+}
+
+// put writes a first version under the next number.
+func (l *Ledger) put(b Batch, r *Record) {
+	r.Version = 1
+	if l.rater != nil {
+		r.Charge = l.rater.Rate(r)
+	}
+	l.number(b, r)
+}
+
+func (l *Ledger) number(b Batch, r *Record) {
+	l.last++
+	l.buf = r.Encode(l.buf[:0])
+	b.Set(NumberKey(l.last), l.buf)
+	b.Set(IDKey(r.ID, r.Version), binary.BigEndian.AppendUint64(nil, l.last))
+}
+
+// alive reads when a life was last known to run.
+func (l *Ledger) alive(life uint32) (time.Time, error) {
+	v, found, err := l.keep.Get([]byte(keyAlive))
+	if err != nil || !found || len(v) != 12 || binary.BigEndian.Uint32(v) != life {
+		return time.Time{}, err
+	}
+	return time.Unix(0, int64(binary.BigEndian.Uint64(v[4:]))).UTC(), nil
+}
+
+// Recover closes up to limit calls that stood when an earlier life was killed: each gets its record and loses its
+// mark in the same batch, so a crash in the middle closes none twice. It is called, and its batch committed, until it
+// returns 0; new calls may be taken meanwhile, under numbers of their own.
+//
+// Marks that cannot be read are told to damaged and taken out; what is left of them is the id.
+func (l *Ledger) Recover(b Batch, limit int, damaged func(id ID, err error)) (closed int, err error) {
+	seen := map[uint32]time.Time{}
+	err = l.keep.Scan([]byte{prefixMark}, nil, func(key, value []byte) error {
+		if len(key) != 1+idSize {
+			return fmt.Errorf("mark %x: no id", key)
+		}
+		id := decodeID(key[1:])
+		if id.Life == l.life {
+			return nil
+		}
+		if closed == limit {
+			return errStop
+		}
+		closed++
+		b.Delete(slices.Clone(key))
+		if _, found, err := l.keep.Get(IDKey(id, 1)); err != nil || found {
+			return err
+		}
+		r, err := Decode(value)
+		if err != nil {
+			damaged(id, err)
+			r = &Record{ID: id, Origin: -1, Dest: -1}
+		}
+		at, ok := seen[id.Life]
+		if !ok {
+			if at, err = l.alive(id.Life); err != nil {
+				return err
+			}
+			seen[id.Life] = at
+		}
+		l.closeKilled(r, at)
+		l.put(b, r)
+		l.Closed++
+		return nil
+	})
+	if errors.Is(err, errStop) {
+		err = nil
+	}
+	return closed, err
+}
+
+var errStop = errors.New("enough")
+
+// closeKilled makes a mark the record of a call whose router was killed: it stood until it was last seen, at least.
+func (l *Ledger) closeKilled(r *Record, alive time.Time) {
+	r.End, r.Known, r.Seen = Stood, ByRecovery, r.Answered
+	if alive.After(r.Seen) {
+		r.Seen = alive // the clock may have been set back since the answer: then that is all that is known
+	}
+	r.Ended = r.Seen
+	r.Length = r.Seen.Sub(r.Answered)
+}
+
+// Read finds the record with a number.
+func Read(k Keeper, n uint64) (*Record, bool, error) {
+	v, found, err := k.Get(NumberKey(n))
+	if err != nil || !found {
+		return nil, found, err
+	}
+	r, err := Decode(v)
+	return r, true, err
+}
+
+// Versions finds all versions of a call's record, oldest first.
+func Versions(k Keeper, id ID) (out []*Record, err error) {
+	prefix := id.encode([]byte{prefixID})
+	err = k.Scan(prefix, nil, func(_, value []byte) error {
+		if len(value) != 8 {
+			return fmt.Errorf("%w: call %v", ErrNumbers, id)
+		}
+		r, found, err := Read(k, binary.BigEndian.Uint64(value))
+		if err == nil && found {
+			out = append(out, r)
+		}
+		return err
+	})
+	return out, err
+}
+
+// Rerate writes a new version of a call's record with another charge; the versions before stay as they are.
+func (l *Ledger) Rerate(b Batch, id ID, rater Rater) (*Record, error) {
+	all, err := Versions(l.keep, id)
+	if err != nil {
+		return nil, err
+	}
+	if len(all) == 0 {
+		return nil, fmt.Errorf("call %v: no record", id)
+	}
+	r := *all[len(all)-1]
+	charge := rater.Rate(&r)
+	if charge == r.Charge {
+		return &r, nil // it says so already: a second asking changes nothing
+	}
+	r.Version++
+	r.Charge = charge
+	l.number(b, &r)
+	return &r, nil
+}
+
+// Trimmed is the last number that was deleted after its export; 0 is none.
+func Trimmed(k Keeper) (uint64, error) {
+	v, found, err := k.Get([]byte(keyTrimmed))
+	if err != nil || !found {
+		return 0, err
+	}
+	if len(v) != 8 {
+		return 0, fmt.Errorf("%w: trimmed", ErrNumbers)
+	}
+	return binary.BigEndian.Uint64(v), nil
+}
+
+// Trim deletes records up to a number, as far as they ended before a time; at most limit of them. What lies at
+// numbers that cannot be read goes too: it is reported by Verify while it is there.
+func Trim(k Keeper, b Batch, upTo uint64, before time.Time, limit int) (n int, err error) {
+	from, err := Trimmed(k)
+	if err != nil {
+		return 0, err
+	}
+	last := from
+	for at := from + 1; at <= upTo && n < limit; at++ {
+		r, found, err := Read(k, at)
+		if err == nil && found {
+			if !r.Ended.Before(before) {
+				break
+			}
+			b.Delete(IDKey(r.ID, r.Version))
+		}
+		b.Delete(NumberKey(at))
+		last = at
+		n++
+	}
+	if n > 0 {
+		b.Set([]byte(keyTrimmed), binary.BigEndian.AppendUint64(nil, last))
+	}
+	return n, nil
+}
--- /dev/null
+++ b/internal/cdr/report.go
@@ -0,0 +1,150 @@
+package cdr
+
+import (
+	"cmp"
+	"fmt"
+	"math/big"
+	"slices"
+	"time"
+)
+
+// Filter picks records; what is zero picks all.
+type Filter struct {
+	From, To       time.Time // of the offer; To is not included
+	Class, Tenant  string
+	End            string
+	Called         string // its beginning
+	Calling        string
+	Unrated        bool
+	ID             *ID
+	NewestVersions bool // of each call only the last
+}
+
+// Fits tells whether a record is picked; NewestVersions is the reader's to see to.
+func (f *Filter) Fits(r *Record) bool {
+	begins := func(s, prefix string) bool { return len(s) >= len(prefix) && s[:len(prefix)] == prefix }
+	return (f.From.IsZero() || !r.Offered.Before(f.From)) && (f.To.IsZero() || r.Offered.Before(f.To)) &&
+		(f.Class == "" || r.Class == f.Class) && (f.Tenant == "" || r.Tenant == f.Tenant) &&
+		(f.End == "" || r.End.String() == f.End) && begins(r.Called, f.Called) && begins(r.Calling, f.Calling) &&
+		(!f.Unrated || !r.Charge.Rated()) && (f.ID == nil || r.ID == *f.ID)
+}
+
+// Each calls f for all records that fit, in the order of their numbers; records that cannot be read are told to
+// damaged.
+func (f *Filter) Each(k Keeper, damaged func(n uint64, err error), do func(n uint64, r *Record) error) error {
+	trimmed, err := Trimmed(k)
+	if err != nil {
+		return err
+	}
+	key, _, found, err := k.Last([]byte{prefixNumber})
+	if err != nil || !found {
+		return err
+	}
+	last, _ := numberOf(key)
+	for n := trimmed + 1; n <= last; n++ {
+		r, found, err := Read(k, n)
+		if err != nil || !found {
+			if err == nil {
+				err = fmt.Errorf("no record")
+			}
+			damaged(n, err)
+			continue
+		}
+		if !f.Fits(r) {
+			continue
+		}
+		if f.NewestVersions {
+			if _, newer, err := k.Get(IDKey(r.ID, r.Version+1)); err != nil || newer {
+				continue
+			}
+		}
+		if err := do(n, r); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func numberOf(key []byte) (uint64, bool) {
+	if len(key) != 9 || key[0] != prefixNumber {
+		return 0, false
+	}
+	var n uint64
+	for _, b := range key[1:] {
+		n = n<<8 | uint64(b)
+	}
+	return n, true
+}
+
+// Line is one line of a report.
+type Line struct {
+	Day      string         `json:"day"`
+	Class    string         `json:"class"`
+	Tenant   string         `json:"tenant"`
+	Calls    int            `json:"calls"`
+	Ends     map[string]int `json:"ends"`
+	Minutes  float64        `json:"minutes"` // that calls stood
+	Charge   string         `json:"charge"`
+	Currency string         `json:"currency,omitempty"`
+	Unrated  int            `json:"unrated"`
+	sum      *big.Rat
+	places   int
+}
+
+// Report adds up records by day, class and tenant. Days are local ones of its zone.
+type Report struct {
+	Zone  *time.Location
+	lines map[[4]string]*Line
+}
+
+// Add counts a record; only the newest version of a call may be added.
+func (p *Report) Add(r *Record) error {
+	if p.lines == nil {
+		p.lines = map[[4]string]*Line{}
+	}
+	day := r.Offered.In(p.Zone).Format(time.DateOnly)
+	key := [4]string{day, r.Class, r.Tenant, r.Charge.Currency}
+	l := p.lines[key]
+	if l == nil {
+		l = &Line{Day: day, Class: r.Class, Tenant: r.Tenant, Currency: r.Charge.Currency, Ends: map[string]int{}, sum: new(big.Rat)}
+		p.lines[key] = l
+	}
+	l.Calls++
+	l.Ends[r.End.String()]++
+	l.Minutes += r.Length.Minutes()
+	if !r.Charge.Rated() {
+		l.Unrated++
+		return nil
+	}
+	x, ok := new(big.Rat).SetString(r.Charge.Amount)
+	if !ok {
+		return fmt.Errorf("call %v: amount %q is no decimal", r.ID, r.Charge.Amount)
+	}
+	l.sum.Add(l.sum, x)
+	if places, ok := decimals(r.Charge.Amount); ok {
+		l.places = max(l.places, places)
+	}
+	return nil
+}
+
+func decimals(amount string) (int, bool) {
+	for i := range len(amount) {
+		if amount[i] == '.' {
+			return len(amount) - i - 1, true
+		}
+	}
+	return 0, false
+}
+
+// Lines are the report's, by day, class and tenant.
+func (p *Report) Lines() (out []Line) {
+	for _, l := range p.lines {
+		l.Charge = l.sum.FloatString(l.places)
+		out = append(out, *l)
+	}
+	slices.SortFunc(out, func(a, b Line) int {
+		return cmp.Or(cmp.Compare(a.Day, b.Day), cmp.Compare(a.Class, b.Class), cmp.Compare(a.Tenant, b.Tenant),
+			cmp.Compare(a.Currency, b.Currency))
+	})
+	return out
+}
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -20,6 +20,7 @@
 	s.checkTenants(d)
 	s.checkGroups(d)
 	s.checkRest(d)
+	s.checkRecords(d)
 	if len(d.Problems) == 0 {
 		if err := s.Decide().Validate(); err != nil {
 			d.Report("", "%v", err)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -11,6 +11,7 @@
 
 	"pipitring/decide"
 	"pipitring/internal/call"
+	"pipitring/internal/cdr"
 	"pipitring/internal/front/isupfront"
 	"pipitring/internal/isup"
 	"pipitring/internal/m3ua"
@@ -31,6 +32,7 @@
 	Switch    Switch     `toml:"switch"`
 	M3UA      M3UA       `toml:"m3ua"`
 	ISUP      ISUP       `toml:"isup"`
+	Records   Records    `toml:"records"`
 	HTTP      HTTP       `toml:"http"`
 	Log       Log        `toml:"log"`
 	OverShare float64    `toml:"over_share_worth"`
@@ -197,17 +199,19 @@
 		M3UA: M3UA{Mode: "override", AckWait: 2 * time.Second, Retries: 4, Beat: 5 * time.Second, MaxOut: 256 << 10},
 		ISUP: ISUP{T1: 15 * time.Second, T5: 5 * time.Minute, T7: 20 * time.Second, T9: 90 * time.Second,
 			T12: 15 * time.Second, T13: 5 * time.Minute, T16: 15 * time.Second, T17: 5 * time.Minute},
-		Log: Log{Level: "info", PerSecond: 200},
+		Records: DefaultRecords(),
+		Log:     Log{Level: "info", PerSecond: 200},
 	}
 }
 
 // Settings are a router's checked settings.
 type Settings struct {
 	File
-	Path  string
-	Plan  *call.Plan
-	Sizes map[int]int // circuits by exchange number
-	Zones []string
+	Path    string
+	Tariffs *cdr.Tariffs // nil: records are kept unrated
+	Plan    *call.Plan
+	Sizes   map[int]int // circuits by exchange number
+	Zones   []string
 }
 
 // Load reads and checks a file.
@@ -266,6 +270,9 @@
 	}
 	c := call.Settings{Decide: s.Decide(), Seed: seed, Groups: s.Sizes, Own: s.OwnCircuits(), Plan: s.Plan, Margin: s.Router.AnswerMargin,
 		DrainGrace: s.Rules.DrainGrace, MaxCalls: s.Router.MaxCalls}
+	if s.Records.Dir != "" && s.Records.Answer == AnswerDurable {
+		c.Prove = s.Records.AnswerWait
+	}
 	for _, class := range s.Class {
 		c.Patience = append(c.Patience, class.Patience)
 	}
@@ -309,6 +316,9 @@
 
 // SameKind reports what of next cannot be taken over while the router runs.
 func (s *Settings) SameKind(next *Settings) error {
+	if !s.Records.same(&next.Records) {
+		return fmt.Errorf("%s: [records] changes only with a restart", next.Path)
+	}
 	moved := s.Router.Listen != next.Router.Listen && next.Router.Listen.Port() != 0 // port 0 is any
 	if s.Router.Exchange != next.Router.Exchange || moved {
 		return fmt.Errorf("%s: exchange and listen change only with a restart", next.Path)
--- /dev/null
+++ b/internal/export/export.go
@@ -0,0 +1,151 @@
+// Package export carries batches of call detail records to where they are wanted: a directory, or a receiver that
+// speaks tus 1.0 (resumable uploads over HTTP). What goes when is decided by cdr.Export; this package does the I/O.
+package export
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/pebble/v2/vfs"
+
+	"pipitring/internal/cdr"
+	"pipitring/internal/store"
+)
+
+// Target takes batches. A batch may come again, whole or in part: taking it twice must leave it there once.
+type Target interface {
+	// Place makes room for a batch and returns what the target calls it; a batch that was placed before names that.
+	Place(ctx context.Context, s *cdr.Sending) (where string, err error)
+	// Send brings a placed batch's bytes over and returns when the target has confirmed that it holds all of them.
+	Send(ctx context.Context, s *cdr.Sending, content []byte) error
+	Close() error
+}
+
+// ErrForgotten says that the target no longer knows a batch that was placed: it has to be placed anew.
+var ErrForgotten = errors.New("the target does not know this batch any more")
+
+// ErrTaken says that another exporter writes to the same place.
+var ErrTaken = errors.New("another exporter writes there")
+
+// Directory is a directory that complete files appear in. Each file gets its manifest after it, and both appear by
+// a rename of what was synced.
+type Directory struct {
+	fs   vfs.FS
+	dir  string
+	lock io.Closer
+}
+
+const lockName = ".pipitring-export"
+
+// OpenDirectory takes a directory, which is made if need be, for one exporter; of two the second gets ErrTaken.
+func OpenDirectory(fs vfs.FS, dir string) (*Directory, error) {
+	if err := store.MakeDir(fs, dir, 0o750); err != nil {
+		return nil, err
+	}
+	lock, err := fs.Lock(fs.PathJoin(dir, lockName))
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w: %w", dir, ErrTaken, err)
+	}
+	return &Directory{fs, dir, lock}, nil
+}
+
+// Close lets the directory go.
+func (d *Directory) Close() error { return d.lock.Close() }
+
+// Place names the file.
+func (d *Directory) Place(_ context.Context, s *cdr.Sending) (string, error) {
+	return d.fs.PathJoin(d.dir, s.File), nil
+}
+
+// Send writes the file and its manifest.
+func (d *Directory) Send(_ context.Context, s *cdr.Sending, content []byte) error {
+	if err := d.write(s.File, content); err != nil {
+		return err
+	}
+	return d.write(cdr.ManifestName(s.Router, s.Batch), s.Manifest.Encode())
+}
+
+// write lets a file appear whole: under another name, synced, then renamed, and the directory synced.
+func (d *Directory) write(name string, content []byte) (err error) {
+	part := d.fs.PathJoin(d.dir, "."+name+".part")
+	f, err := d.fs.Create(part, vfs.WriteCategoryUnspecified)
+	if err != nil {
+		return err
+	}
+	if _, err = f.Write(append([]byte(nil), content...)); err == nil { // Write may change what it is given
+		err = f.Sync()
+	}
+	if err = errors.Join(err, f.Close()); err != nil {
+		return err
+	}
+	if err = d.fs.Rename(part, d.fs.PathJoin(d.dir, name)); err != nil {
+		return err
+	}
+	return store.SyncDir(d.fs, d.dir)
+}
+
+// Files reads a directory's files.
+type Files struct {
+	FS  vfs.FS
+	Dir string
+}
+
+// List names the files.
+func (f Files) List() ([]string, error) { return f.FS.List(f.Dir) }
+
+// Read reads one.
+func (f Files) Read(name string) ([]byte, error) {
+	file, err := f.FS.Open(f.FS.PathJoin(f.Dir, name))
+	if err != nil {
+		return nil, err
+	}
+	b, err := io.ReadAll(file)
+	return b, errors.Join(err, file.Close())
+}
+
+// Commit makes what build puts into a batch durable.
+type Commit func(build func(b cdr.Batch) error) error
+
+// Step does the next thing there is to do for an export: it sends one batch, or finds none. again is when there may
+// be more to do. Everything is kept before the next thing follows, so that a crash anywhere repeats the same batch.
+func Step(ctx context.Context, e *cdr.Export, t Target, last uint64, flush bool, now func() time.Time, commit Commit) (sent bool,
+	again time.Time, err error) {
+	var s *cdr.Sending
+	var content []byte
+	err = commit(func(b cdr.Batch) (err error) {
+		s, content, again, err = e.Next(now(), last, flush, b)
+		return err
+	})
+	if err != nil || s == nil {
+		return false, again, err
+	}
+	if err := deliver(ctx, e, t, s, content, commit); err != nil {
+		failed := commit(func(b cdr.Batch) error { e.Failed(now(), b); return nil })
+		return false, now(), errors.Join(fmt.Errorf("batch %d: %w", s.Batch, err), failed)
+	}
+	return true, now(), commit(func(b cdr.Batch) error { e.Confirm(now(), b); return nil })
+}
+
+func deliver(ctx context.Context, e *cdr.Export, t Target, s *cdr.Sending, content []byte, commit Commit) error {
+	for again := 0; ; again++ {
+		if s.Where == "" {
+			where, err := t.Place(ctx, s)
+			if err != nil {
+				return err
+			}
+			if err := commit(func(b cdr.Batch) error { e.Placed(where, b); return nil }); err != nil {
+				return err
+			}
+		}
+		err := t.Send(ctx, s, content)
+		if !errors.Is(err, ErrForgotten) || again > 0 {
+			return err
+		}
+		if err := commit(func(b cdr.Batch) error { e.Placed("", b); return nil }); err != nil {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/internal/records/records.go
@@ -0,0 +1,431 @@
+// Package records runs the call detail records of one router beside its event loop: the store, the ledger that decides
+// what is written, the exports and what is deleted after them. Nothing here makes the loop wait for the disk.
+package records
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/pebble/v2/vfs"
+
+	"pipitring/internal/cdr"
+	"pipitring/internal/export"
+	"pipitring/internal/store"
+)
+
+// Version is the format of the store.
+const Version = 1
+
+// Schema is the form of the store.
+func Schema() store.Schema { return store.Schema{Version: Version} }
+
+// Owner names a router in its store.
+func Owner(router uint32) string { return fmt.Sprintf("pipitring router %d", router) }
+
+// ExportOptions set one export.
+type ExportOptions struct {
+	cdr.ExportSettings
+	Dir     string // a directory, or:
+	URL     string // a receiver that speaks tus 1.0
+	Token   string
+	Part    int           // bytes of one request
+	Timeout time.Duration // of one request
+}
+
+// Options set a Recorder.
+type Options struct {
+	Dir       string
+	FS        vfs.FS // nil is the disk
+	Router    uint32
+	Rater     cdr.Rater
+	Gate      store.GateSettings
+	MaxBatch  int
+	Gather    time.Duration
+	Alive     time.Duration // between marks that this life runs
+	FullWait  time.Duration // between tries while the disk is full
+	Memory    uint64        // see store.Options
+	Exports   []ExportOptions
+	Keep      time.Duration // records that every export has confirmed are kept for so long
+	DiskLimit uint64        // over this the oldest confirmed go before; 0 is none
+	TrimEvery time.Duration
+	Done      func(ticket uint64) // told when what was submitted up to a ticket is durable; on the writer's goroutine
+	Log       func(level Level, text string, err error)
+	Now       func() time.Duration // monotonic; nil is since Open
+	Wall      func() time.Time
+}
+
+// Level is how bad what is logged is.
+type Level uint8
+
+// Levels.
+const (
+	Info Level = iota
+	Warn
+	Error
+)
+
+// Recorder keeps the records of one router.
+type Recorder struct {
+	opt    Options
+	store  *store.Store
+	ledger *cdr.Ledger // the writer's, once that runs
+	writer *store.Writer[cdr.Item]
+	built  uint64        // the last number put into a batch; the writer's
+	last   atomic.Uint64 // the last number that is durable
+	closed int
+	took   time.Duration
+
+	mu      sync.Mutex
+	full    bool // what the disk last did, for when the writer did not run yet
+	failed  error
+	exports []ExportStatus
+	nudge   []chan struct{}
+	cancel  context.CancelFunc
+	side    sync.WaitGroup
+}
+
+// ExportStatus is how one export does.
+type ExportStatus struct {
+	Target  string
+	Done    uint64 // the last number that it has confirmed
+	Batches uint64
+	Fails   uint64
+	Err     string // of the last try, if it failed
+}
+
+const recoverBatch = 2000
+
+// Open opens a router's records, closes the calls that stood when an earlier life was killed, and begins a new life.
+func Open(o Options) (*Recorder, error) {
+	began := time.Now()
+	if o.FS == nil {
+		o.FS = vfs.Default
+	}
+	if o.Now == nil {
+		o.Now = func() time.Duration { return time.Since(began) }
+	}
+	if o.Wall == nil {
+		o.Wall = time.Now
+	}
+	if o.Log == nil {
+		o.Log = func(Level, string, error) {}
+	}
+	r := &Recorder{opt: o}
+	var err error
+	r.store, err = store.Open(store.Options{Dir: o.Dir, FS: o.FS, Owner: Owner(o.Router), Schema: Schema(), FullWait: o.FullWait,
+		Memory: o.Memory, Full: r.diskFull, Broken: r.diskFailed})
+	if err != nil {
+		return nil, err
+	}
+	if err = r.begin(); err != nil {
+		_ = r.store.Close()
+		return nil, fmt.Errorf("%s: %w", o.Dir, err)
+	}
+	r.took = o.Now()
+	r.last.Store(r.ledger.Last())
+	r.built = r.ledger.Last()
+	w := store.NewWriter(r.store, store.WriterOptions[cdr.Item]{Gate: o.Gate, MaxBatch: max(1, o.MaxBatch), Gather: o.Gather,
+		Build: r.build, Done: r.durable, Idle: r.idle, IdleEvery: o.Alive, Now: o.Now})
+	r.mu.Lock()
+	r.writer = w
+	w.Full(r.full)
+	if r.failed != nil {
+		w.Fail(r.failed)
+	}
+	r.mu.Unlock()
+	var ctx context.Context
+	ctx, r.cancel = context.WithCancel(context.Background())
+	if err := r.startExports(ctx); err != nil {
+		_ = r.Close()
+		return nil, err
+	}
+	return r, nil
+}
+
+// begin makes the new life durable, then closes what earlier ones left open. Each step may be repeated by a crash.
+func (r *Recorder) begin() (err error) {
+	if r.ledger, err = cdr.OpenLedger(r.store, r.opt.Router, r.opt.Rater); err != nil {
+		return err
+	}
+	b := r.store.Batch()
+	r.ledger.Begin(b, r.opt.Wall())
+	if err := r.store.Commit(b); err != nil {
+		return err
+	}
+	for {
+		b := r.store.Batch()
+		n, err := r.ledger.Recover(b, recoverBatch, func(id cdr.ID, err error) {
+			r.opt.Log(Error, "mark of call "+id.String()+" cannot be read: its record holds its id alone", err)
+		})
+		if err != nil {
+			return err
+		}
+		if n == 0 {
+			break
+		}
+		if err := r.store.Commit(b); err != nil {
+			return err
+		}
+		r.closed += n
+	}
+	// Only now: until the last is closed, its life was alive no longer than told before.
+	b = r.store.Batch()
+	r.ledger.Alive(b, r.opt.Wall())
+	return r.store.Commit(b)
+}
+
+func (r *Recorder) diskFull(full bool) {
+	r.mu.Lock()
+	r.full = full
+	if r.writer != nil {
+		r.writer.Full(full)
+	}
+	r.mu.Unlock()
+	if full {
+		r.opt.Log(Error, "records: the disk is full", nil)
+	} else {
+		r.opt.Log(Warn, "records: the disk has room again", nil)
+	}
+}
+
+func (r *Recorder) diskFailed(err error) {
+	r.mu.Lock()
+	r.failed = err
+	if r.writer != nil {
+		r.writer.Fail(err)
+	}
+	r.mu.Unlock()
+	r.opt.Log(Error, "records: the disk has failed: nothing is kept until a restart", err)
+}
+
+func (r *Recorder) build(b *store.Batch, items []cdr.Item) error {
+	r.ledger.Put(b, items)
+	r.built = r.ledger.Last()
+	return nil
+}
+
+func (r *Recorder) idle(b *store.Batch) { r.ledger.Alive(b, r.opt.Wall()) }
+
+func (r *Recorder) durable(upTo uint64) {
+	r.last.Store(r.built)
+	if r.opt.Done != nil {
+		r.opt.Done(upTo)
+	}
+}
+
+// ID names the how-manieth call of this life.
+func (r *Recorder) ID(call uint64) cdr.ID { return r.ledger.ID(call) }
+
+// Submit hands items over; it never waits. false: they are lost, and counted.
+func (r *Recorder) Submit(items ...cdr.Item) (ticket uint64, ok bool) {
+	return r.writer.Submit(items...)
+}
+
+// Overdue counts answers that went out before their record was durable.
+func (r *Recorder) Overdue(n int) { r.writer.Overdue(n) }
+
+// Status is how the records do.
+type Status struct {
+	store.Status
+	Last     uint64 // number of the newest durable record
+	Life     uint32
+	Closed   int           // calls closed by recovery at the start,
+	Recovery time.Duration // and how long that took, with opening the store
+	Bytes    uint64        // on disk
+	Exports  []ExportStatus
+}
+
+// Status looks at the records.
+func (r *Recorder) Status() Status {
+	s := Status{Status: r.writer.Status(), Last: r.last.Load(), Life: r.ledger.Life(), Closed: r.closed, Recovery: r.took}
+	if s.State != store.Failed {
+		s.Bytes = r.store.Size()
+	}
+	r.mu.Lock()
+	s.Exports = append(s.Exports, r.exports...)
+	r.mu.Unlock()
+	return s
+}
+
+// Store reads what is kept.
+func (r *Recorder) Store() *store.Store { return r.store }
+
+// Close writes what waits and ends.
+func (r *Recorder) Close() error {
+	r.stopSide()
+	err := r.writer.Close()
+	return errors.Join(err, r.store.Close())
+}
+
+// Abandon ends as a kill would: what waits is lost.
+func (r *Recorder) Abandon() {
+	r.stopSide()
+	r.writer.Abandon()
+	_ = r.store.Close()
+}
+
+func (r *Recorder) stopSide() {
+	if r.cancel != nil {
+		r.cancel()
+	}
+	r.side.Wait()
+}
+
+func (r *Recorder) startExports(ctx context.Context) error {
+	for i := range r.opt.Exports {
+		o := &r.opt.Exports[i]
+		e, err := cdr.OpenExport(r.store, o.ExportSettings)
+		if err != nil {
+			return err
+		}
+		t, err := OpenTarget(r.opt.FS, o)
+		if err != nil {
+			// The records go on without this export: they are kept until it can be had again.
+			r.opt.Log(Error, "export "+o.Target+" gives way", err)
+			r.exports = append(r.exports, ExportStatus{Target: o.Target, Done: e.Done(), Batches: e.Batches(), Err: err.Error()})
+			r.nudge = append(r.nudge, nil)
+			continue
+		}
+		r.exports = append(r.exports, ExportStatus{Target: o.Target, Done: e.Done(), Batches: e.Batches()})
+		wake := make(chan struct{}, 1)
+		r.nudge = append(r.nudge, wake)
+		r.side.Go(func() { r.export(ctx, i, e, t, wake) })
+	}
+	if r.opt.TrimEvery > 0 && len(r.opt.Exports) > 0 {
+		r.side.Go(func() { r.trim(ctx) })
+	}
+	return nil
+}
+
+// OpenTarget opens what an export goes to.
+func OpenTarget(fs vfs.FS, o *ExportOptions) (export.Target, error) {
+	if o.URL != "" {
+		return export.NewTus(o.URL, o.Token, o.Part, o.Timeout), nil
+	}
+	return export.OpenDirectory(fs, o.Dir)
+}
+
+// Commit makes a batch of changes durable, beside the writer's: they are of other keys.
+func Commit(s *store.Store) export.Commit {
+	return func(build func(cdr.Batch) error) error {
+		b := s.Batch()
+		if err := build(b); err != nil {
+			return err
+		}
+		return s.Commit(b)
+	}
+}
+
+// export sends batches until ctx ends.
+func (r *Recorder) export(ctx context.Context, i int, e *cdr.Export, t export.Target, wake chan struct{}) {
+	defer func() { _ = t.Close() }()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for flush := false; ; {
+		select {
+		case <-ctx.Done():
+			return
+		case <-wake:
+			flush = true
+		case <-timer.C:
+		}
+		sent, again, err := export.Step(ctx, e, t, r.last.Load(), flush, r.opt.Wall, Commit(r.store))
+		if ctx.Err() != nil {
+			return
+		}
+		r.mu.Lock()
+		st := &r.exports[i]
+		st.Done, st.Batches, st.Fails, st.Err = e.Done(), e.Batches(), e.Fails, ""
+		if err != nil {
+			st.Err = err.Error()
+		}
+		r.mu.Unlock()
+		if err != nil {
+			r.opt.Log(Warn, "export "+st.Target, err)
+		}
+		flush = flush && sent
+		// A new record wakes nobody: who waits looks again after a second at the latest.
+		timer.Reset(min(max(again.Sub(r.opt.Wall()), time.Millisecond), time.Second))
+		if sent || flush {
+			timer.Reset(0)
+		}
+	}
+}
+
+// Flush makes the exports send what there is now, however little.
+func (r *Recorder) Flush() {
+	for _, wake := range r.nudge {
+		select {
+		case wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Confirmed is the last number that every export has confirmed.
+func (r *Recorder) Confirmed() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.exports) == 0 {
+		return 0
+	}
+	least := r.exports[0].Done
+	for _, e := range r.exports {
+		least = min(least, e.Done)
+	}
+	return least
+}
+
+const trimBatch = 1000
+
+// trim deletes what every export has confirmed, when it is old enough or the disk limit asks for it.
+func (r *Recorder) trim(ctx context.Context) {
+	tick := time.NewTicker(r.opt.TrimEvery)
+	defer tick.Stop()
+	over := false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		before := r.opt.Wall().Add(-r.opt.Keep)
+		if limit := r.opt.DiskLimit; limit > 0 && r.store.Size() > limit {
+			before = r.opt.Wall()
+		}
+		n, err := r.trimOnce(before)
+		if err != nil {
+			r.opt.Log(Error, "records: deleting what was exported", err)
+			return
+		}
+		if n > 0 {
+			err = r.store.Compact(cdr.NumberKey(0), cdr.NumberKey(r.Confirmed()+1))
+		}
+		if err != nil {
+			r.opt.Log(Warn, "records: making room", err)
+		}
+		if was := over; r.opt.DiskLimit > 0 {
+			if over = r.store.Size() > r.opt.DiskLimit; over && !was {
+				r.opt.Log(Error, "records: over the disk limit, and nothing more that every export has confirmed", nil)
+			}
+		}
+	}
+}
+
+func (r *Recorder) trimOnce(before time.Time) (total int, err error) {
+	for {
+		b := r.store.Batch()
+		n, err := cdr.Trim(r.store, b, r.Confirmed(), before, trimBatch)
+		if err != nil {
+			return total, err
+		}
+		if err := r.store.Commit(b); err != nil || n == 0 {
+			return total, err
+		}
+		total += n
+	}
+}
--- a/internal/runtime/metrics.go
+++ b/internal/runtime/metrics.go
@@ -16,6 +16,7 @@
 
 	"pipitring/internal/call"
 	"pipitring/internal/node"
+	"pipitring/internal/store"
 )
 
 // metrics are read on the loop when they are asked for; only set-up delays are counted as they come.
@@ -57,6 +58,15 @@
 	descStranger = desc("m3ua_strangers_total", "Messages or connections of ends that no group leads to.")
 	descListAge  = desc("list_age_seconds", "Since the exchange list last came; -1 is never.")
 	descMistrust = desc("list_starts_mistrusted_total", "Starts on the exchange list that contradict this router's clock.")
+	descUnproven = desc("answers_unproven_total", "Final answers that went out before their record was durable.")
+	descRecState = desc("records_state", "State of the records' disk: 0 healthy, 1 slow, 2 full, 3 failed.")
+	descRecRisk  = desc("records_at_risk", "Records that a crash now would lose.")
+	descRecLost  = desc("records_lost_total", "Records given up because too many waited, or the disk had failed.")
+	descRecLast  = desc("records_last_number", "Number of the newest durable record.")
+	descRecSyncs = desc("records_commits_total", "Batches of records made durable.")
+	descRecBytes = desc("records_bytes", "Size of the records on disk.")
+	descRecDone  = desc("records_exported_number", "Number of the last record that an export has confirmed.", "export")
+	descRecFails = desc("records_export_failures_total", "Tries of an export that came to nothing.", "export")
 	descUp       = desc("loop_up", "1 while the event loop answers.")
 )
 
@@ -134,11 +144,31 @@
 	count(descRejected, iax.Rejected)
 	count(descStray, iax.Stray)
 	count(descDropped, m.dropped)
+	if m.s.keep != nil {
+		m.readRecords(gauge, count, core.Unproven)
+	}
 	count(descMistrust, n.Mistrusted())
 	gauge(descListAge, m.s.listAge(now))
 	return out
 }
 
+// readRecords reads what the records' disk and exports do.
+func (m *metrics) readRecords(gauge func(*prometheus.Desc, float64, ...string), count func(*prometheus.Desc, uint64, ...string),
+	unproven uint64) {
+	st := m.s.keep.rec.Status()
+	count(descUnproven, unproven)
+	gauge(descRecState, float64(st.State))
+	gauge(descRecRisk, float64(st.Waiting))
+	count(descRecLost, st.Lost)
+	gauge(descRecLast, float64(st.Last))
+	count(descRecSyncs, st.Commits)
+	gauge(descRecBytes, float64(st.Bytes))
+	for _, e := range st.Exports {
+		gauge(descRecDone, float64(e.Done), e.Target)
+		count(descRecFails, e.Fails, e.Target)
+	}
+}
+
 // listAge is in seconds; -1 before the first list.
 func (s *Server) listAge(now time.Duration) float64 {
 	at := s.listed.Load()
@@ -149,10 +179,16 @@
 }
 
 // takeRecords counts and logs finished calls and alarms; the logger's sampling bounds the lines.
-func (s *Server) takeRecords() {
+func (s *Server) takeRecords(now time.Duration) {
 	core := s.node.Core
+	if s.keep != nil {
+		s.keep.take(now, core.Records)
+	}
 	for i := range core.Records {
 		r := &core.Records[i]
+		if r.Kind == call.Began {
+			continue
+		}
 		class := s.set.Class[r.Class].Name
 		if r.SetUp > 0 {
 			s.metrics.setUp.WithLabelValues(class).Observe(r.SetUp.Seconds())
@@ -177,12 +213,18 @@
 	Draining bool    `json:"draining"`
 	ListAge  float64 `json:"list_age_s"`
 	Calls    int     `json:"calls"`
+	Records  string  `json:"records,omitempty"` // the state of their disk
+	AtRisk   int     `json:"records_at_risk,omitempty"`
 	Problem  string  `json:"problem,omitempty"`
 }
 
 func (s *Server) health() health {
 	h := health{Draining: s.draining.Load()}
 	err := s.Do(func(n *node.Node, now time.Duration) { h.Calls, h.ListAge = n.Core.Open(), s.listAge(now) })
+	if s.keep != nil {
+		st := s.keep.rec.Status()
+		h.Records, h.AtRisk = st.State.String(), st.Waiting
+	}
 	switch {
 	case err != nil:
 		h.Problem = err.Error()
@@ -190,6 +232,8 @@
 		h.Problem = "no exchange list has come yet"
 	case h.Draining:
 		h.Problem = "draining"
+	case h.Records != "" && h.Records != store.Healthy.String():
+		h.Problem = "records: the disk is " + h.Records
 	default:
 		h.OK = true
 	}
@@ -207,6 +251,9 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(s.metrics.registry, promhttp.HandlerOpts{}))
+	if s.keep != nil {
+		mux.HandleFunc("GET /records", s.keep.serveRecords)
+	}
 	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) {
 		h := s.health()
 		w.Header().Set("Content-Type", "application/json")
--- /dev/null
+++ b/internal/runtime/records.go
@@ -0,0 +1,233 @@
+package runtime
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	"go.uber.org/zap"
+
+	"pipitring/decide"
+	"pipitring/internal/call"
+	"pipitring/internal/cdr"
+	"pipitring/internal/config"
+	"pipitring/internal/records"
+)
+
+// keeping joins the loop and the records beside it.
+type keeping struct {
+	s      *Server
+	rec    *records.Recorder
+	clock  cdr.Clock   // on the loop
+	shut   atomic.Bool // no new calls: the disk's state asks for it
+	items  []cdr.Item  // on the loop, reused
+	proven uint64      // Core.Stats.Unproven as it was told last
+
+	mu      sync.Mutex
+	tickets []submitted // not durable yet, oldest first
+	durable uint64      // the core's last ticket that is
+	waking  bool        // the loop has been asked to look
+}
+
+// submitted joins the records' ticket with the core's.
+type submitted struct{ theirs, core uint64 }
+
+// look is how often the disk's state is looked at beside the loop.
+const look = 50 * time.Millisecond
+
+// openRecords opens the records that the settings name; nil where they name none.
+func (s *Server) openRecords() error {
+	set := &s.set.Records
+	if set.Dir == "" {
+		return nil
+	}
+	k := &keeping{s: s}
+	o := records.Options{Dir: set.Dir, Router: uint32(s.set.Router.Exchange), Gate: set.Gate(), MaxBatch: set.Batch, Gather: set.Gather,
+		Alive: set.Alive, Keep: set.Keep, DiskLimit: uint64(set.DiskLimit), TrimEvery: time.Minute, Done: k.done, Now: s.now,
+		Log: func(level records.Level, text string, err error) {
+			[...]func(string, ...zap.Field){s.log.Info, s.log.Warn, s.log.Error}[level](text, zap.Error(err))
+		}}
+	if s.set.Tariffs != nil {
+		o.Rater = s.set.Tariffs
+	}
+	var err error
+	if o.Exports, err = Exports(s.set); err != nil {
+		return err
+	}
+	if k.rec, err = records.Open(o); err != nil {
+		return fmt.Errorf("records: %w", err)
+	}
+	s.keep = k
+	st := k.rec.Status()
+	s.log.Info("records opened", zap.String("dir", set.Dir), zap.Uint32("life", st.Life), zap.Uint64("last", st.Last),
+		zap.Int("closed", st.Closed), zap.Duration("took", st.Recovery))
+	return nil
+}
+
+// Exports puts the exports of settings in the records' terms.
+func Exports(set *config.Settings) (out []records.ExportOptions, err error) {
+	for i := range set.Records.Export {
+		e := &set.Records.Export[i]
+		x := records.ExportOptions{ExportSettings: cdr.ExportSettings{Target: e.Name, Router: uint32(set.Router.Exchange),
+			Format: cdr.Format(e.Format), Most: e.Most, Least: e.Least, Wait: e.Wait, FirstTry: time.Second, LastTry: time.Minute,
+			Keep: 1000}, Part: e.Part, Timeout: e.Timeout}
+		if x.Token, err = e.Bearer(); err != nil {
+			return nil, fmt.Errorf("records.export %q: %w", e.Name, err)
+		}
+		x.Dir = e.To
+		if isAddress(e.To) {
+			x.Dir, x.URL = "", e.To
+		}
+		out = append(out, x)
+	}
+	return out, nil
+}
+
+func isAddress(to string) bool {
+	for i := range len(to) - 2 {
+		if to[i:i+3] == "://" {
+			return true
+		}
+	}
+	return false
+}
+
+// watch looks at the disk's state until ctx ends; the loop only reads what it finds.
+func (k *keeping) watch(ctx context.Context) {
+	t := time.NewTicker(look)
+	defer t.Stop()
+	state := k.rec.Status().State
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		st := k.rec.Status()
+		k.shut.Store(!st.Open)
+		if st.State != state {
+			k.s.log.Warn("records: the disk's state has changed", zap.Stringer("from", state), zap.Stringer("to", st.State),
+				zap.Bool("new_calls", st.Open), zap.Int("at_risk", st.Waiting), zap.Uint64("lost", st.Lost))
+			state = st.State
+		}
+	}
+}
+
+// take hands the core's records over; on the loop.
+func (k *keeping) take(now time.Duration, made []call.Record) {
+	k.clock.Look(now, time.Now())
+	if unproven := k.s.node.Core.Stats.Unproven; unproven != k.proven {
+		k.rec.Overdue(int(unproven - k.proven))
+		k.proven = unproven
+	}
+	if len(made) == 0 {
+		return
+	}
+	k.items = k.items[:0]
+	for i := range made {
+		k.items = append(k.items, cdr.Item{Began: made[i].Kind == call.Began, Record: k.record(&made[i])})
+	}
+	last := made[len(made)-1].Ticket
+	k.mu.Lock()
+	ticket, ok := k.rec.Submit(k.items...)
+	if ok {
+		k.tickets = append(k.tickets, submitted{ticket, last})
+	}
+	k.mu.Unlock()
+	clear(k.items) // the strings are the records' now
+}
+
+// done is told on the records' goroutine what is durable; the loop is woken once for what comes together.
+func (k *keeping) done(upTo uint64) {
+	k.mu.Lock()
+	for len(k.tickets) > 0 && k.tickets[0].theirs <= upTo {
+		k.durable = k.tickets[0].core
+		k.tickets = k.tickets[1:]
+	}
+	wake := !k.waking
+	k.waking = true
+	k.mu.Unlock()
+	if !wake {
+		return
+	}
+	// The error says that the loop has ended: then nobody waits for an answer.
+	_ = k.s.loop.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
+		k.mu.Lock()
+		k.waking = false
+		ticket := k.durable
+		k.mu.Unlock()
+		now := k.s.now()
+		k.s.node.Durable(now, ticket)
+		k.s.settle(now)
+		return nil
+	}))
+}
+
+// frontless names what carried a leg that never was.
+var outcomes = [...]string{"", "completed", "busy", "full", "timed out", "unreachable", "cut", "cancelled", "not sent"}
+
+func outcomeName(o decide.Outcome) string {
+	if int(o) < len(outcomes) {
+		return outcomes[o]
+	}
+	return strconv.Itoa(int(o))
+}
+
+var (
+	ends   = [...]cdr.End{call.Stood: cdr.Stood, call.CutOff: cdr.Cut, call.Refused: cdr.Refused, call.Failed: cdr.Failed, call.Left: cdr.Left}
+	knowns = [...]cdr.Known{call.ByRouter: cdr.ByRouter, call.ByCaller: cdr.ByCaller, call.ByFarEnd: cdr.ByFarEnd, call.ByLoss: cdr.ByLoss,
+		call.ByTimer: cdr.ByTimer}
+)
+
+// record puts a core's record in the form that is kept.
+func (k *keeping) record(r *call.Record) cdr.Record {
+	set := k.s.set
+	out := cdr.Record{ID: k.rec.ID(r.Seq), End: ends[r.End], Cause: uint8(r.Cause), Known: knowns[r.Known], Class: set.Class[r.Class].Name,
+		Called: r.Called, Calling: r.Calling, User: r.User, Context: r.Context, Front: r.Bearer.Front, Circuit: r.Bearer.Circuit,
+		Origin: r.Origin, Dest: r.Dest, Transit: r.Transit, Width: r.Width, Offered: k.clock.At(r.Offered)}
+	if r.Tenant < len(set.Tenant) {
+		out.Tenant = set.Tenant[r.Tenant].Name
+	}
+	end := r.Offered
+	for i := range r.Attempts {
+		a := &r.Attempts[i]
+		out.Attempts = append(out.Attempts, cdr.Attempt{Exchange: a.Exchange, Tandem: a.Tandem, Front: a.Bearer.Front,
+			Circuit: a.Bearer.Circuit, After: a.Sent - r.Offered, Took: a.Took, Outcome: outcomeName(a.Outcome), Cause: uint8(a.Cause)})
+		end = max(end, a.Sent+a.Took)
+	}
+	if r.SetUp > 0 {
+		answered := r.Offered + r.SetUp
+		end = answered + r.Length
+		out.Answered, out.SetUp, out.Length = k.clock.At(answered), r.SetUp, r.Length
+	}
+	out.Ended, out.Stepped = k.clock.At(end), k.clock.Stepped(r.Offered, end)
+	return out
+}
+
+// serveRecords answers with the kept records as lines of JSON, from a number on.
+func (k *keeping) serveRecords(w http.ResponseWriter, q *http.Request) {
+	filter := cdr.Filter{}
+	if text := q.URL.Query().Get("id"); text != "" {
+		id, err := cdr.ParseID(text)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		filter.ID = &id
+	}
+	w.Header().Set("Content-Type", "application/x-ndjson")
+	enc := json.NewEncoder(w)
+	err := filter.Each(k.rec.Store(), func(n uint64, err error) {
+		k.s.log.Error("records: one cannot be read", zap.Uint64("number", n), zap.Error(err))
+	}, func(_ uint64, r *cdr.Record) error { return enc.Encode(r) })
+	if err != nil && !errors.Is(err, context.Canceled) {
+		k.s.log.Warn("records: listing them", zap.Error(err)) // the reader may have left
+	}
+}
--- a/internal/runtime/server.go
+++ b/internal/runtime/server.go
@@ -59,8 +59,10 @@
 	stopped  atomic.Bool
 	listed   atomic.Int64 // when the list last came, on our clock; 0 is never
 	draining atomic.Bool
+	keep     *keeping                     // nil: no records are kept
 	conns    map[isupfront.Conn]gnet.Conn // TCP, on the loop
 	lastConn isupfront.Conn
+	ended    sync.Once      // the records are closed
 	side     sync.WaitGroup // what runs beside the loop
 	cancel   context.CancelFunc
 }
@@ -76,6 +78,9 @@
 		return nil, fmt.Errorf("listening on %v: %w", set.Router.Listen, err)
 	}
 	s.node = node.New(s.nodeSettings())
+	if err := s.openRecords(); err != nil {
+		return nil, err
+	}
 	s.metrics = newMetrics(s)
 	s.wake = time.AfterFunc(time.Hour, s.fire)
 	s.wake.Stop()
@@ -94,6 +99,7 @@
 		if s.failed == nil {
 			s.failed = ErrStopped
 		}
+		_ = s.closeRecords(false)
 		return nil, fmt.Errorf("listening on %v: %w", set.Router.Listen, s.failed)
 	}
 	if set.Router.Listen.Port() == 0 {
@@ -104,6 +110,9 @@
 	var ctx context.Context
 	ctx, s.cancel = context.WithCancel(context.Background())
 	s.associations(ctx)
+	if s.keep != nil {
+		s.side.Go(func() { s.keep.watch(ctx) })
+	}
 	s.side.Go(func() { s.source().Run(ctx, s.SetList, s.listFault) })
 	if err := s.serveHTTP(ctx); err != nil {
 		s.Stop()
@@ -224,6 +233,7 @@
 		return s.onStream(c, st)
 	}
 	now := s.now()
+	s.gate(now)
 	if from, ok := c.RemoteAddr().(*net.UDPAddr); ok {
 		if a, ok := iax2.AddrFrom(from.AddrPort()); ok {
 			b, _ := c.Next(-1)
@@ -242,6 +252,14 @@
 	return gnet.None
 }
 
+// gate lets new calls in or not, as the records' disk allows, and notes what the clock on the wall shows.
+func (s *Server) gate(now time.Duration) {
+	if s.keep != nil {
+		s.node.Core.Shut(s.keep.shut.Load())
+		s.keep.clock.Look(now, time.Now())
+	}
+}
+
 // fire is the timer's end; it runs beside the loop.
 func (s *Server) fire() {
 	// The error says that the loop has ended: then there is nothing to do.
@@ -258,7 +276,7 @@
 		s.node.Advance(now)
 	}
 	s.flush(now)
-	s.takeRecords()
+	s.takeRecords(now)
 	if at, ok := s.node.Next(); ok {
 		at = max(at, now+timerGrain)
 		if s.wakeAt == 0 || at < s.wakeAt {
@@ -364,8 +382,25 @@
 	}
 }
 
-// Stop ends the router at once; what it held is lost to it.
-func (s *Server) Stop() error {
+// Stop ends the router at once; what it held is lost to it. Its records are written out; calls that stood are closed
+// at the next start.
+func (s *Server) Stop() error { return s.end(false) }
+
+// Kill ends the router as a kill of its process would, records that wait included.
+func (s *Server) Kill() error { return s.end(true) }
+
+func (s *Server) closeRecords(drop bool) error {
+	switch {
+	case s.keep == nil:
+		return nil
+	case drop:
+		s.keep.rec.Abandon()
+		return nil
+	}
+	return s.keep.rec.Close()
+}
+
+func (s *Server) end(drop bool) error {
 	if s.cancel != nil {
 		s.cancel()
 	}
@@ -374,6 +409,7 @@
 	err := s.engine.Stop(ctx)
 	<-s.done
 	s.side.Wait()
+	s.ended.Do(func() { err = errors.Join(err, s.closeRecords(drop)) })
 	return err
 }
 
--- a/internal/store/holdfs.go
+++ b/internal/store/holdfs.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"os"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -78,9 +79,43 @@
 
 func (h *holdFS) Create(name string, c vfs.DiskWriteCategory) (f vfs.File, err error) {
 	err = h.hold(func() error { f, err = h.FS.Create(name, c); return err })
+	if err == nil && strings.HasPrefix(h.PathBase(name), "MANIFEST-") {
+		// The marker that names it is another entry of the same directory: a disk that keeps the later of two entries
+		// and not the earlier would leave a store that cannot be opened.
+		err = h.hold(func() error { return SyncDir(h.FS, h.PathDir(name)) })
+	}
 	return h.file(f), err
 }
 
+// SyncDir makes the entries of a directory durable.
+func SyncDir(fs vfs.FS, dir string) error {
+	d, err := fs.OpenDir(dir)
+	if err != nil {
+		return err
+	}
+	return errors.Join(d.Sync(), d.Close())
+}
+
+// MakeDir makes a directory, and those above it that are missing, and makes their entries durable.
+func MakeDir(fs vfs.FS, dir string, perm os.FileMode) error {
+	var above []string // directories that get a new entry
+	for at := dir; ; at = fs.PathDir(at) {
+		if _, err := fs.Stat(at); err == nil || fs.PathDir(at) == at {
+			break
+		}
+		above = append(above, fs.PathDir(at))
+	}
+	if err := fs.MkdirAll(dir, perm); err != nil {
+		return err
+	}
+	for _, at := range above {
+		if err := SyncDir(fs, at); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (h *holdFS) OpenReadWrite(name string, c vfs.DiskWriteCategory, o ...vfs.OpenOption) (f vfs.File, err error) {
 	err = h.hold(func() error { f, err = h.FS.OpenReadWrite(name, c, o...); return err })
 	return h.file(f), err
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -3,6 +3,7 @@
 package store
 
 import (
+	"cmp"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -45,6 +46,7 @@
 	Schema   Schema
 	ReadOnly bool // nothing is written, not even a recovery's
 	Cache    int64
+	Memory   uint64          // bytes gathered before they are sorted into a file; 0 is 8 MiB
 	FullWait time.Duration   // between tries while the disk is full
 	Full     func(full bool) // told when the disk fills up, and when it has room again; on any goroutine
 	Broken   func(error)     // told, once, when the disk fails for good; on any goroutine
@@ -111,7 +113,7 @@
 	fs := vfs.FS(s.hold)
 	// Keys are small and many: one long log costs a restart more than short memtables cost in service.
 	opt := &pebble.Options{FS: fs, Logger: words{s}, ReadOnly: o.ReadOnly, FormatMajorVersion: pebble.FormatNewest,
-		MemTableSize: 8 << 20, CacheSize: max(o.Cache, 4<<20)}
+		MemTableSize: cmp.Or(o.Memory, 8<<20), CacheSize: max(o.Cache, 4<<20)}
 	if s.db, err = openPebble(o.Dir, opt); err != nil {
 		return nil, fmt.Errorf("%s: %w", o.Dir, inTerms(err))
 	}
@@ -135,6 +137,7 @@
 // inTerms puts an error of pebble's in this package's terms.
 func inTerms(err error) error {
 	switch {
+	case err == nil:
 	case pebble.IsCorruptionError(err):
 		return fmt.Errorf("%w: %w", ErrDamaged, err)
 	case isLocked(err):
