--- a/cmd/pipitring/day.go
+++ b/cmd/pipitring/day.go
@@ -85,6 +85,12 @@
 	}
 	fmt.Fprintf(w, "\nleft at the end: %d calls, %d legs, %d dialogs, %d circuits; switches pushed over: %d\n", r.LeftOver.Calls,
 		r.LeftOver.Legs, r.LeftOver.Dialogs, r.LeftOver.Circuits, r.SwitchFell)
+	k := &r.Records
+	fmt.Fprintf(w, "records: %d kept (%d closed by recovery, %d unrated); of %d tries %d without, %d with two, %d with another end\n", k.Records,
+		k.Recovered, k.Unrated, k.Looked, k.Missing, k.Doubled, k.Wrong)
+	for _, f := range k.Found[:min(20, len(k.Found))] {
+		fmt.Fprintln(w, " ", f)
+	}
 	fmt.Fprintf(w, "rules broken: %d; overdue answers %d, faults %d, malformed frames %d\n", r.RulesBroken, r.Overdue, r.Faults, r.Malformed)
 	for _, b := range r.Broken[:min(20, len(r.Broken))] {
 		fmt.Fprintln(w, " ", b)
--- a/cmd/pipitring/lab.go
+++ b/cmd/pipitring/lab.go
@@ -15,7 +15,7 @@
 	c := &cobra.Command{Use: "lab", Short: "Load and experiments", RunE: func(cmd *cobra.Command, _ []string) error {
 		return fmt.Errorf("an experiment is needed: see %s --help", cmd.CommandPath())
 	}}
-	c.AddCommand(labCalls(), labFronts(), labFailover(), labStart())
+	c.AddCommand(labCalls(), labFronts(), labFailover(), labStart(), labCrash())
 	return c
 }
 
@@ -138,3 +138,45 @@
 	c.Flags().StringVar(&o.Front, "front", "iax2", "between routers: "+strings.Join(lab.FrontNames, ", "))
 	return c
 }
+
+func labCrash() *cobra.Command {
+	var asJSON bool
+	o := lab.CrashOptions{Progress: os.Stderr}
+	c := &cobra.Command{Use: "crash", Args: cobra.NoArgs,
+		Short: "Crash the records' disk at every write and sync, kill a real router under load, and look for every record",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if o.Calls < 1 || o.Calls > 100000 || o.Nested < 0 || o.Kills < 0 || o.Kills > 10000 {
+				return fmt.Errorf("--calls has to be 1 to 100000, --kills 0 to 10000, --nested not below 0")
+			}
+			r, err := lab.Crash(cmd.Context(), o)
+			if err != nil {
+				return err
+			}
+			if asJSON {
+				err = printJSON(r)
+			} else {
+				fmt.Printf("%d points of a run of %d calls (%d of them in recoveries): %d finished calls looked for, %d records missing, %d doubled, "+
+					"%d of no call, %d by recovery; exports wrong %d\n", r.PointsTried, r.Calls, r.PointsNested, r.CallsFinished, r.RecordsMissing,
+					r.RecordsDoubled, r.RecordsFalse, r.Recovered, r.ExportsWrong)
+				if k := r.Kills; k != nil {
+					fmt.Printf("%d kills under load: %d calls, %d answered, %d records (%d by recovery): %d missing, %d doubled, %d wrong; "+
+						"rules broken %d; longest start %.0f ms\n", k.Kills, k.Calls, k.Answered, k.Records, k.Recovered, k.Missing, k.Doubled, k.Wrong,
+						k.RulesBroken, k.StartMS)
+					r.Broken = append(r.Broken, k.Found...)
+				}
+				for _, b := range r.Broken {
+					fmt.Println(" ", b)
+				}
+			}
+			if err == nil && !r.Good() {
+				err = errBroken
+			}
+			return err
+		}}
+	c.Flags().BoolVar(&asJSON, "json", false, "print one JSON object")
+	c.Flags().IntVar(&o.Calls, "calls", 1500, "calls of the run whose every write and sync is a crash")
+	c.Flags().IntVar(&o.Nested, "nested", 25, "at every so-manieth point the crashes within its recovery are played too; 0 is never")
+	c.Flags().IntVar(&o.Kills, "kills", 40, "times that a real router's process is killed under load")
+	c.Flags().Uint64Var(&o.Seed, "seed", 1, "of calls and crashes")
+	return c
+}
--- a/internal/lab/day.go
+++ b/internal/lab/day.go
@@ -47,12 +47,14 @@
 	Overdue     uint64                           `json:"overdue"`
 	Faults      uint64                           `json:"faults"`
 	SwitchFell  int                              `json:"switches_fallen"`
+	Records     DayRecords                       `json:"records"`
 	WallSeconds float64                          `json:"wall_seconds"`
+	kept        keptRecords
 }
 
 // Good tells whether nothing was broken or left over.
 func (r *DayResult) Good() bool {
-	return r.RulesBroken == 0 && r.LeftOver == (Left{}) && r.Overdue+r.Faults == 0 && r.Malformed == 0
+	return r.RulesBroken == 0 && r.LeftOver == (Left{}) && r.Overdue+r.Faults == 0 && r.Malformed == 0 && r.Records.Good()
 }
 
 // Day plays a script on loopback and judges it from its capture.
@@ -95,6 +97,7 @@
 		return nil, err
 	}
 	res.take(report)
+	res.Records.match(report.Each, res.kept)
 	res.WallSeconds = time.Since(began).Seconds()
 	return res, nil
 }
@@ -104,7 +107,7 @@
 
 // Judge judges a capture.
 func Judge(r io.Reader) (*rules.Report, error) {
-	var c rules.Checker
+	c := rules.Checker{Keep: true}
 	if err := capture.Read(r, func(p capture.Packet) error { c.Packet(p); return nil }); err != nil {
 		return nil, err
 	}
@@ -172,7 +175,11 @@
 	for _, sw := range f.switches {
 		res.SwitchFell += sw.Count().Fell
 	}
-	return nil
+	if err := f.stopRouters(); err != nil {
+		return err
+	}
+	res.kept, err = f.readRecords(&res.Records)
+	return err
 }
 
 func sleepUntil(ctx context.Context, at time.Time) bool {
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -6,6 +6,8 @@
 	"maps"
 	"math/rand/v2"
 	"net/netip"
+	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -38,6 +40,7 @@
 	circuits map[[2]int]int                 // of each group, by the lesser and the greater exchange
 	keep     map[[2]int]float64
 	lines    []standin.Line
+	dir      string // of all that is kept on disk
 }
 
 // exchangeSwitch is a stand-in switch of either protocol.
@@ -89,6 +92,9 @@
 			f.close()
 		}
 	}()
+	if err := f.openDir(); err != nil {
+		return f, err
+	}
 	f.notice(capture.Notice{Figures: f.figures()})
 	f.drawGroups()
 	if f.register, err = standin.NewRegister(tap, f.addrOf); err != nil {
@@ -267,6 +273,7 @@
 		s.Fleet.DrainGrace, s.Fleet.ColdFrom, s.Fleet.ColdFor, s.Fleet.FallMultiple)
 	p("[list]\nregister = %q\nwait = \"10s\"", f.register.URL(x))
 	p("[iax]\nmax_per_host = 0\ncall_tokens = true\nretry_first = \"300ms\"\naccept_delay = \"100ms\"\nping_every = \"2s\"\nlinger = \"2s\"")
+	p("[records]\ndir = %q\ntariffs = %q", f.recordsDir(x), filepath.Join(f.dir, "tariffs.toml"))
 	p("[[user]]\nname = \"handheld-%d\"\nsecret = \"let me in\"", x)
 	if f.m3ua[x].IsValid() {
 		p("[m3ua]\nlisten = %q\n[isup]\nt1 = \"1s\"\nt5 = \"20s\"\nt16 = \"1s\"\nt17 = \"20s\"", f.m3ua[x])
@@ -323,15 +330,18 @@
 	}
 	f.routers[x] = nil
 	f.notice(capture.Notice{Router: &capture.Life{Exchange: x}})
-	return r.Stop()
+	return r.Kill()
 }
 
 // killAll ends routers at the same time: one after the other would take seconds.
-func (f *fleet) killAll(at []int) error {
+func (f *fleet) killAll(at []int) error { return f.each(at, f.kill) }
+
+// each does something to several exchanges at the same time.
+func (f *fleet) each(at []int, do func(x int) error) error {
 	errs := make([]error, len(at))
 	var wg sync.WaitGroup
 	for i, x := range at {
-		wg.Go(func() { errs[i] = f.kill(x) })
+		wg.Go(func() { errs[i] = do(x) })
 	}
 	wg.Wait()
 	return errors.Join(errs...)
@@ -463,11 +473,7 @@
 	for _, c := range f.callers {
 		c.Close()
 	}
-	for x := range f.routers {
-		if f.routers[x] != nil {
-			_ = f.routers[x].Stop() // the day is judged; what fails now changes nothing
-		}
-	}
+	_ = f.stopRouters() // the day is judged; what fails now changes nothing
 	for _, l := range f.links {
 		l.Close()
 	}
@@ -480,4 +486,7 @@
 	if f.register != nil {
 		f.register.Close()
 	}
+	if f.dir != "" {
+		_ = os.RemoveAll(f.dir) // of the system's temporary files: it cleans up what stays
+	}
 }
--- a/internal/lab/kill.go
+++ b/internal/lab/kill.go
@@ -1,22 +1,264 @@
 package lab
 
 import (
+	"bytes"
 	"context"
+	"errors"
+	"fmt"
 	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"time"
+
+	"pipitring/internal/capture"
+	"pipitring/internal/records"
+	"pipitring/internal/rules"
+	"pipitring/internal/standin"
 )
 
-// KillOptions are how real processes are killed.
+// KillOptions are how a real router process is killed under load.
 type KillOptions struct {
 	Kills    int
+	Rate     float64 // calls a second; 0 is 400
 	Seed     uint64
 	Progress io.Writer
+	Serve    []string // the command that serves the settings file named after it; empty is this program
 }
 
 // KillResult is what was found after the kills.
-type KillResult struct{}
+type KillResult struct {
+	Kills       int     `json:"kills"`
+	Calls       int     `json:"calls"`
+	Answered    int     `json:"answered"` // final answers that callers saw
+	Recovered   int     `json:"recovered"`
+	Records     int     `json:"records"`
+	Missing     int     `json:"records_missing"`
+	Doubled     int     `json:"records_doubled"`
+	Wrong       int     `json:"records_wrong"`
+	RulesBroken int     `json:"rules_broken"`
+	StartMS     float64 `json:"longest_start_ms"` // from the process's start until it serves
+
+	Found []string `json:"found,omitempty"`
+}
+
+// Good tells whether nothing was lost, doubled or broken.
+func (r *KillResult) Good() bool {
+	return r.Missing+r.Doubled+r.Wrong+r.RulesBroken+len(r.Found) == 0
+}
+
+// Kill starts a router as a process of its own, calls through it, kills it at random moments with SIGKILL and starts
+// it again on the same records. The callers' capture tells which call must have its record.
+func Kill(ctx context.Context, o KillOptions) (*KillResult, error) {
+	if o.Rate == 0 {
+		o.Rate = 400
+	}
+	if o.Progress == nil {
+		o.Progress = io.Discard
+	}
+	dir, err := os.MkdirTemp("", "pipitring-kill-")
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = os.RemoveAll(dir) }() // of the system's temporary files: it cleans up what stays
+	res := &KillResult{Kills: o.Kills}
+	var held bytes.Buffer
+	tap, err := capture.NewWriter(&held)
+	if err != nil {
+		return nil, err
+	}
+	if err := kills(ctx, o, dir, tap, res); err != nil {
+		return nil, err
+	}
+	if err := tap.Close(); err != nil {
+		return nil, err
+	}
+	rep, err := Judge(&held)
+	if err != nil {
+		return nil, err
+	}
+	res.Calls, res.RulesBroken = rep.Tries, len(rep.Broken)
+	res.Answered = rep.Count(rules.Stood) + rep.Count(rules.Refused) + rep.Count(rules.Failed)
+	for _, b := range rep.Broken[:min(len(rep.Broken), 20)] {
+		res.Found = append(res.Found, b.String())
+	}
+	return res, res.audit(filepath.Join(dir, "records"), rep)
+}
 
-// Good tells whether nothing was lost or doubled.
-func (r *KillResult) Good() bool { return true }
+// audit opens the records once more, which closes what the last kill left open, and looks for every call.
+func (r *KillResult) audit(dir string, rep *rules.Report) error {
+	rec, err := records.Open(records.Options{Dir: dir, Router: 0, MaxBatch: 1, Alive: time.Second})
+	if err != nil {
+		return err
+	}
+	d := DayRecords{}
+	have, err := readKept(rec.Store(), 0, &d)
+	if err == nil {
+		err = rec.Close()
+	} else {
+		_ = rec.Close()
+	}
+	if err != nil {
+		return err
+	}
+	d.match(rep.Each, keptRecords{0: have})
+	r.Records, r.Recovered, r.Missing, r.Doubled, r.Wrong = d.Records, d.Recovered, d.Missing, d.Doubled, d.Wrong
+	r.Found = append(r.Found, d.Found...)
+	return nil
+}
 
-// Kill is yet to come.
-func Kill(context.Context, KillOptions) (*KillResult, error) { return &KillResult{}, nil }
+// kills runs the process, its switch and its callers.
+func kills(ctx context.Context, o KillOptions, dir string, tap *capture.Writer, res *KillResult) error {
+	tap.Notice(time.Now(), capture.Notice{Figures: &capture.Figures{DrainGrace: time.Second, ReleaseWait: 300 * time.Millisecond,
+		Patience: map[string]time.Duration{callsClass: callsPatience}}})
+	sw, err := standin.NewSwitch(anyPort, standin.SwitchSpec{Exchange: 1, Rate: 1e9, QueueWait: time.Second, Lines: 1e6,
+		RingFor: 5 * time.Millisecond}, o.Seed, tap)
+	if err != nil {
+		return err
+	}
+	defer sw.Close()
+	at, err := freePort()
+	if err != nil {
+		return err
+	}
+	web, err := freePort()
+	if err != nil {
+		return err
+	}
+	file, err := killSettings(dir, at, web, sw.Addr())
+	if err != nil {
+		return err
+	}
+	c, err := standin.NewCallers(anyPort, at, standin.CallersSpec{Exchange: 0, Rate: o.Rate, Weights: []float64{0, 1},
+		Classes: []standin.CallerClass{{Name: callsClass, Share: 1, Hold: callsHold, Patience: callsPatience, Deadline: callsPatience}},
+		Number:  func(_ int, rng *rand.Rand) string { return fmt.Sprintf("1%05d", rng.IntN(100000)) }}, o.Seed, tap)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	rng := rand.New(rand.NewPCG(o.Seed, 21))
+	for i := range o.Kills + 1 {
+		p, err := startProcess(ctx, o.Serve, file, web, res)
+		if err != nil {
+			return fmt.Errorf("start %d: %w", i+1, err)
+		}
+		lifeOf(tap, true)
+		if i == 0 {
+			c.Start()
+		}
+		lives := 150*time.Millisecond + time.Duration(rng.Int64N(int64(500*time.Millisecond)))
+		if i == o.Kills { // the last life lets all calls come to their ends
+			c.Stop()
+			lives = callsPatience + 500*time.Millisecond
+		}
+		ok := sleepUntil(ctx, time.Now().Add(lives))
+		if i == o.Kills {
+			c.HangUp()
+			ok = ok && sleepUntil(ctx, time.Now().Add(300*time.Millisecond))
+		}
+		lifeOf(tap, false)
+		err = p.Process.Kill()
+		_ = p.Wait() // it says that it was killed
+		if err != nil || !ok {
+			return errors.Join(err, ctx.Err())
+		}
+		if i%20 == 0 {
+			fmt.Fprintf(o.Progress, "%d kills\n", i)
+		}
+	}
+	return nil
+}
+
+// lifeOf notes that the process runs or was killed: the stand-ins at its two sides each know it as the router of their
+// own exchange.
+func lifeOf(tap *capture.Writer, up bool) {
+	for x := range 2 {
+		tap.Notice(time.Now(), capture.Notice{Router: &capture.Life{Exchange: x, Up: up}})
+	}
+}
+
+// killSettings writes the router's settings, its list and its tariffs.
+func killSettings(dir string, at, web, sw netip.AddrPort) (string, error) {
+	files := map[string]string{
+		"tariffs.toml": dayTariffs,
+		"list.toml":    fmt.Sprintf("[[exchange]]\nid = \"far\"\nnumber = 1\naddress = %q\n", sw),
+		"router.toml": fmt.Sprintf(`
+[router]
+exchange = 0
+listen = %q
+answer_margin = "120ms"
+[[class]]
+name = %q
+hold = %q
+aim = %q
+patience = %q
+deadline = %q
+worth = 1
+[[exchange]]
+number = 0
+[[exchange]]
+number = 1
+prefixes = ["1"]
+[[group]]
+to = 1
+circuits = 5000
+[list]
+file = %q
+[iax]
+call_tokens = false
+max_per_host = 0
+linger = "500ms"
+[http]
+listen = %q
+[records]
+dir = %q
+tariffs = "tariffs.toml"
+answer_wait = "100ms"
+[log]
+level = "error"
+`, at, callsClass, callsHold, callsAim, callsPatience, callsPatience, filepath.Join(dir, "list.toml"), web, filepath.Join(dir, "records")),
+	}
+	for name, text := range files {
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600); err != nil {
+			return "", err
+		}
+	}
+	return filepath.Join(dir, "router.toml"), nil
+}
+
+// startProcess starts the router's process and waits until it serves.
+func startProcess(ctx context.Context, serve []string, file string, web netip.AddrPort, res *KillResult) (*exec.Cmd, error) {
+	if len(serve) == 0 {
+		exe, err := os.Executable()
+		if err != nil {
+			return nil, err
+		}
+		serve = []string{exe, "serve", "-c"}
+	}
+	var said bytes.Buffer
+	p := exec.CommandContext(ctx, serve[0], append(append([]string(nil), serve[1:]...), file)...)
+	p.Stderr = &said
+	began := time.Now()
+	if err := p.Start(); err != nil {
+		return nil, err
+	}
+	client := &http.Client{Timeout: time.Second}
+	defer client.CloseIdleConnections()
+	for limit := began.Add(20 * time.Second); time.Now().Before(limit) && ctx.Err() == nil; time.Sleep(2 * time.Millisecond) {
+		resp, err := client.Get("http://" + web.String() + "/health")
+		if err != nil {
+			continue
+		}
+		resp.Body.Close()
+		if resp.StatusCode == http.StatusOK {
+			res.StartMS = max(res.StartMS, float64(time.Since(began).Microseconds())/1000)
+			return p, nil
+		}
+	}
+	_ = p.Process.Kill()
+	_ = p.Wait()
+	return nil, fmt.Errorf("it does not serve after 20 s: %s", said.String())
+}
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -12,6 +13,9 @@
 
 // gnet starts a pool of workers at its import, which stays.
 func TestMain(m *testing.M) {
+	if file := os.Getenv(serveEnv); file != "" {
+		serveForTest(file)
+	}
 	goleak.VerifyTestMain(m, goleak.IgnoreCurrent(), goleak.IgnoreTopFunction("github.com/panjf2000/ants/v2.(*goWorker).run.func1"))
 }
 
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -77,6 +77,15 @@
 	Malformed int
 	Datagrams int
 	Length    time.Duration
+	Each      []Try // every try of a caller, if the Checker's Keep asks for them
+}
+
+// Try is one try of a caller.
+type Try struct {
+	Router  int
+	Call    string // its calling number
+	Outcome Outcome
+	Down    bool // the router was killed, or did not run, in its time
 }
 
 // Count adds an outcome over all contexts.
@@ -89,6 +98,7 @@
 
 // Checker judges packet by packet. The zero value is ready.
 type Checker struct {
+	Keep    bool // the report lists every try
 	report  Report
 	first   time.Time
 	figures capture.Figures
@@ -529,6 +539,9 @@
 		c.report.Outcomes[d.context] = m
 	}
 	m[o]++
+	if c.Keep {
+		c.report.Each = append(c.report.Each, Try{d.other.Exchange, d.call, o, c.wasDown(d)})
+	}
 }
 
 // finish judges a dialog that can get nothing more.
