cdr commands; damage in the log is proven, gone round and what lies behind it put back

Need: operators' tools for records, and a defect that the tests of flipped bits found: the database takes a flipped bit in its last log for the log's torn end and drops all behind it without a word.

Change: pipitring cdr list, export, verify, rate, report; store.Open looks through the logs before the database does, puts a damaged one aside and the batches behind the damage back.

--- /dev/null
+++ b/cmd/pipitring/cdr.go
@@ -0,0 +1,551 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/pebble/v2/vfs"
+	"github.com/spf13/cobra"
+
+	"pipitring/internal/cdr"
+	"pipitring/internal/config"
+	"pipitring/internal/export"
+	"pipitring/internal/plots"
+	"pipitring/internal/records"
+	"pipitring/internal/runtime"
+	"pipitring/internal/store"
+)
+
+// cdrFlags tell where the records are and which are meant.
+type cdrFlags struct {
+	config, dir, from, to, id string
+	json                      bool
+	filter                    cdr.Filter
+	set                       *config.Settings // nil without config
+}
+
+func cdrCommand() *cobra.Command {
+	c := &cobra.Command{Use: "cdr", Short: "Call detail records", RunE: func(cmd *cobra.Command, _ []string) error {
+		return fmt.Errorf("what is to be done is needed: see %s --help", cmd.CommandPath())
+	}}
+	c.AddCommand(cdrList(), cdrExport(), cdrVerify(), cdrRate(), cdrReport())
+	return c
+}
+
+func (f *cdrFlags) place(c *cobra.Command) {
+	c.Flags().StringVarP(&f.config, "config", "c", "", "settings of the router whose records they are")
+	c.Flags().StringVar(&f.dir, "store", "", "directory of the records, in place of the settings'")
+	c.Flags().BoolVar(&f.json, "json", false, "print JSON")
+}
+
+func (f *cdrFlags) pick(c *cobra.Command) {
+	c.Flags().StringVar(&f.from, "from", "", "offered from this time on (2026-12-01 or 2026-12-01T14:00:00Z)")
+	c.Flags().StringVar(&f.to, "to", "", "offered before this time")
+	c.Flags().StringVar(&f.id, "id", "", "one call (router-life-call)")
+	c.Flags().StringVar(&f.filter.Class, "class", "", "of this class")
+	c.Flags().StringVar(&f.filter.Tenant, "tenant", "", "of this tenant")
+	c.Flags().StringVar(&f.filter.End, "end", "", "that ended so: stood, cut, refused, failed, left")
+	c.Flags().StringVar(&f.filter.Called, "called", "", "whose called number begins so")
+	c.Flags().StringVar(&f.filter.Calling, "calling", "", "whose calling number begins so")
+	c.Flags().BoolVar(&f.filter.Unrated, "unrated", false, "beyond any tariff")
+	c.Flags().BoolVar(&f.filter.NewestVersions, "newest", false, "of a call that was rated again, the newest version alone")
+}
+
+func parseTime(flag, s string) (t time.Time, err error) {
+	if s == "" {
+		return t, nil
+	}
+	if t, err = time.Parse(time.RFC3339, s); err != nil {
+		if t, err = time.Parse(time.DateOnly, s); err != nil {
+			return t, fmt.Errorf("--%s: %q is no time such as 2026-12-01 or 2026-12-01T14:00:00Z", flag, s)
+		}
+	}
+	return t, nil
+}
+
+// read takes the flags in.
+func (f *cdrFlags) read() (err error) {
+	if f.filter.From, err = parseTime("from", f.from); err != nil {
+		return err
+	}
+	if f.filter.To, err = parseTime("to", f.to); err != nil {
+		return err
+	}
+	if f.id != "" {
+		id, err := cdr.ParseID(f.id)
+		if err != nil {
+			return fmt.Errorf("--id: %w", err)
+		}
+		f.filter.ID = &id
+	}
+	if f.filter.End != "" {
+		if err := new(cdr.End).UnmarshalText([]byte(f.filter.End)); err != nil {
+			return fmt.Errorf("--%w", err)
+		}
+	}
+	if f.config != "" {
+		if f.set, err = config.Load(f.config); err != nil {
+			return err
+		}
+		if f.dir == "" {
+			f.dir = f.set.Records.Dir
+		}
+	}
+	if f.dir == "" {
+		return errors.New("where the records are is needed: -c SETTINGS with a [records] dir, or --store DIR")
+	}
+	return nil
+}
+
+// open opens the store; a running router has its own to itself.
+func (f *cdrFlags) open(write bool) (*store.Store, error) {
+	s, err := store.Open(store.Options{Dir: f.dir, Schema: records.Schema(), ReadOnly: !write})
+	if errors.Is(err, store.ErrInUse) {
+		return nil, fmt.Errorf("%w: a router that runs keeps its records to itself; list them by --http, or ask when it has stopped", err)
+	}
+	return s, err
+}
+
+// with opens the store for as long as do takes.
+func (f *cdrFlags) with(write bool, do func(*store.Store) error) error {
+	if err := f.read(); err != nil {
+		return err
+	}
+	s, err := f.open(write)
+	if err != nil {
+		return err
+	}
+	return errors.Join(do(s), s.Close())
+}
+
+func complain(n uint64, err error) { fmt.Fprintf(os.Stderr, "number %d: %v\n", n, err) }
+
+func cdrList() *cobra.Command {
+	f := &cdrFlags{}
+	var from string
+	c := &cobra.Command{Use: "list", Args: cobra.NoArgs, Short: "Print records, as a table or as lines of JSON",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			p := newPrinter(os.Stdout, f.json)
+			print := func(r *cdr.Record) error { return p.print(r) }
+			var err error
+			if from != "" {
+				err = listRunning(cmd.Context(), from, f, print)
+			} else {
+				err = f.with(false, func(s *store.Store) error {
+					return f.filter.Each(s, func(n uint64, err error) { p.damaged++; complain(n, err) },
+						func(_ uint64, r *cdr.Record) error { return print(r) })
+				})
+			}
+			return errors.Join(err, p.end())
+		}}
+	f.place(c)
+	f.pick(c)
+	c.Flags().StringVar(&from, "http", "", "ask a running router at this address (its http.listen)")
+	return c
+}
+
+// listRunning asks a running router for its records.
+func listRunning(ctx context.Context, at string, f *cdrFlags, do func(*cdr.Record) error) error {
+	f.dir = at
+	if err := f.read(); err != nil {
+		return err
+	}
+	u := url.URL{Scheme: "http", Host: at, Path: "/records"}
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s: %s: does it keep records?", u.String(), resp.Status)
+	}
+	lines := bufio.NewScanner(resp.Body)
+	lines.Buffer(nil, 1<<20)
+	for lines.Scan() {
+		var r cdr.Record
+		if err := json.Unmarshal(lines.Bytes(), &r); err != nil {
+			return fmt.Errorf("%s: %w", u.String(), err)
+		}
+		if f.filter.Fits(&r) {
+			if err := do(&r); err != nil {
+				return err
+			}
+		}
+	}
+	return lines.Err()
+}
+
+// printer prints records.
+type printer struct {
+	w       io.Writer
+	tab     *tabwriter.Writer // nil: JSON
+	n       int
+	damaged int
+}
+
+func newPrinter(w io.Writer, asJSON bool) *printer {
+	p := &printer{w: w}
+	if !asJSON {
+		p.tab = tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+		fmt.Fprintln(p.tab, "id\toffered\tend\tcause\tknown by\tclass\ttenant\tcalling\tcalled\tset-up\tlength\troute\tcharge\ttariff")
+	}
+	return p
+}
+
+func (p *printer) print(r *cdr.Record) error {
+	p.n++
+	if p.tab == nil {
+		return json.NewEncoder(p.w).Encode(r)
+	}
+	var route []string
+	for _, a := range r.Attempts {
+		route = append(route, fmt.Sprintf("%d:%s", a.Exchange, strings.ReplaceAll(a.Outcome, " ", "-")))
+	}
+	charge := strings.TrimSpace(r.Charge.Amount + " " + r.Charge.Currency)
+	if r.Charge.Note != "" {
+		charge += " (" + r.Charge.Note + ")"
+	}
+	_, err := fmt.Fprintf(p.tab, "%v/%d\t%s\t%v\t%d\t%v\t%s\t%s\t%s\t%s\t%v\t%v\t%s\t%s\t%s\n", r.ID, r.Version,
+		r.Offered.Format("2006-01-02T15:04:05.000Z"), r.End, r.Cause, r.Known, r.Class, r.Tenant, r.Calling, r.Called,
+		r.SetUp.Round(time.Millisecond), r.Length.Round(time.Millisecond), strings.Join(route, " "), charge, r.Charge.Tariff)
+	return err
+}
+
+func (p *printer) end() error {
+	if p.tab != nil {
+		return p.tab.Flush()
+	}
+	return json.NewEncoder(p.w).Encode(map[string]int{"records": p.n, "damaged": p.damaged})
+}
+
+func cdrExport() *cobra.Command {
+	f := &cdrFlags{}
+	var to, format, name string
+	c := &cobra.Command{Use: "export", Args: cobra.NoArgs, Short: "Send all records that wait to the settings' exports, or to a directory",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return f.with(true, func(s *store.Store) error {
+				outs, err := f.exports(s, name, to, format)
+				if err != nil {
+					return err
+				}
+				total := map[string]uint64{}
+				for i := range outs {
+					n, err := exportAll(cmd.Context(), s, &outs[i])
+					total[outs[i].Target] = n
+					if err != nil {
+						return fmt.Errorf("export %s: %w", outs[i].Target, err)
+					}
+					fmt.Fprintf(os.Stderr, "%s: %d batches sent\n", outs[i].Target, n)
+				}
+				if f.json {
+					return printJSON(map[string]any{"batches_sent": total})
+				}
+				return nil
+			})
+		}}
+	f.place(c)
+	c.Flags().StringVar(&to, "to", "", "a directory, or the address of a receiver (tus 1.0), beside the settings'")
+	c.Flags().StringVar(&format, "format", string(cdr.CSV), "with --to: csv or parquet")
+	c.Flags().StringVar(&name, "name", "", "only this export of the settings; with --to: what its progress is kept under")
+	return c
+}
+
+// exports are those meant by the flags.
+func (f *cdrFlags) exports(s *store.Store, name, to, format string) ([]records.ExportOptions, error) {
+	if to != "" {
+		form, err := cdr.ParseFormat(format)
+		if err != nil {
+			return nil, fmt.Errorf("--format: %w", err)
+		}
+		router, err := routerOf(s)
+		if err != nil {
+			return nil, err
+		}
+		if name == "" {
+			name = "command line " + to
+		}
+		o := records.ExportOptions{Dir: to, Timeout: 30 * time.Second, ExportSettings: cdr.ExportSettings{Target: name, Router: router,
+			Format: form, Most: 10000, Least: 1, Keep: 1000}}
+		if strings.Contains(to, "://") {
+			o.Dir, o.URL = "", to
+		}
+		return []records.ExportOptions{o}, nil
+	}
+	if f.set == nil {
+		return nil, errors.New("where to is needed: -c SETTINGS with [[records.export]], or --to")
+	}
+	all, err := runtime.Exports(f.set)
+	if err != nil || name == "" {
+		return all, err
+	}
+	for _, o := range all {
+		if o.Target == name {
+			return []records.ExportOptions{o}, nil
+		}
+	}
+	return nil, fmt.Errorf("--name: no export of the settings is named %q", name)
+}
+
+// routerOf is the router that a store belongs to.
+func routerOf(s *store.Store) (uint32, error) {
+	owner, err := s.Owner()
+	if err != nil {
+		return 0, err
+	}
+	var n uint32
+	if _, err := fmt.Sscanf(owner, records.Owner(0)[:len(records.Owner(0))-1]+"%d", &n); err != nil {
+		return 0, fmt.Errorf("the store belongs to %q, which is no router", owner)
+	}
+	return n, nil
+}
+
+const exportTries = 5
+
+func exportAll(ctx context.Context, s *store.Store, o *records.ExportOptions) (uint64, error) {
+	e, err := cdr.OpenExport(s, o.ExportSettings)
+	if err != nil {
+		return 0, err
+	}
+	t, err := records.OpenTarget(vfs.Default, o)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = t.Close() }()
+	l, err := cdr.OpenLedger(s, o.Router, nil)
+	if err != nil {
+		return 0, err
+	}
+	from := e.Batches()
+	for fails := 0; ; {
+		sent, _, err := export.Step(ctx, e, t, l.Last(), true, time.Now, records.Commit(s))
+		switch {
+		case err != nil && (fails == exportTries || ctx.Err() != nil):
+			return e.Batches() - from, err
+		case err != nil:
+			fails++
+			fmt.Fprintln(os.Stderr, err)
+		case !sent:
+			return e.Batches() - from, nil
+		}
+	}
+}
+
+func cdrVerify() *cobra.Command {
+	f := &cdrFlags{}
+	var dirs []string
+	c := &cobra.Command{Use: "verify", Args: cobra.NoArgs,
+		Short: "Look for gaps, doubles, damaged and unrated records in the store and in exported files",
+		RunE: func(*cobra.Command, []string) error {
+			var a *cdr.Audit
+			err := f.with(false, func(s *store.Store) (err error) {
+				if a, err = cdr.Verify(s); err != nil {
+					return err
+				}
+				router, err := routerOf(s)
+				if err != nil {
+					return err
+				}
+				if f.set != nil {
+					for _, e := range f.set.Records.Export {
+						if !strings.Contains(e.To, "://") {
+							dirs = append(dirs, e.To)
+						}
+					}
+				}
+				for _, dir := range dirs {
+					if err := a.VerifyFiles(s, export.Files{FS: vfs.Default, Dir: dir}, router); err != nil {
+						return err
+					}
+				}
+				return nil
+			})
+			if err != nil {
+				return err
+			}
+			if f.json {
+				err = printJSON(a)
+			} else {
+				fmt.Printf("%d records, numbers %d to %d; %d open calls, %d unrated; %d records in %d exported batches\n", a.Records, a.First, a.Last,
+					a.Open, a.Unrated, a.Exported, a.Batches)
+				for _, n := range a.Gaps {
+					fmt.Printf("  gap: no record under number %d\n", n)
+				}
+				for _, list := range [][]string{a.Damaged, a.Doubled, a.Mismatch} {
+					for _, text := range list {
+						fmt.Println(" ", text)
+					}
+				}
+			}
+			if err == nil && !a.Good() {
+				err = errBroken
+			}
+			return err
+		}}
+	f.place(c)
+	c.Flags().StringSliceVar(&dirs, "files", nil, "directories of exported files, beside the settings'")
+	return c
+}
+
+func cdrRate() *cobra.Command {
+	f := &cdrFlags{}
+	var file string
+	var write bool
+	c := &cobra.Command{Use: "rate", Args: cobra.NoArgs,
+		Short: "Try tariffs on stored records; with --write, keep the outcome as new versions",
+		RunE: func(*cobra.Command, []string) error {
+			if file == "" {
+				return errors.New("--tariffs: the file of tariffs is needed")
+			}
+			t, err := config.LoadTariffs(file)
+			if err != nil {
+				return err
+			}
+			f.filter.NewestVersions = true
+			return f.with(write, func(s *store.Store) error { return f.rate(s, t, write) })
+		}}
+	f.place(c)
+	f.pick(c)
+	c.Flags().StringVar(&file, "tariffs", "", "the tariffs (TOML)")
+	c.Flags().BoolVar(&write, "write", false, "write a new version of each record whose charge is another now; older versions stay")
+	return c
+}
+
+// rateBatch is how many records are rated again in one commit.
+const rateBatch = 1000
+
+func (f *cdrFlags) rate(s *store.Store, t *cdr.Tariffs, write bool) error {
+	before, after := &cdr.Report{Zone: t.Zone}, &cdr.Report{Zone: t.Zone}
+	var changed []cdr.ID
+	n := 0
+	err := f.filter.Each(s, complain, func(_ uint64, r *cdr.Record) error {
+		n++
+		if err := before.Add(r); err != nil {
+			return err
+		}
+		charge := t.Rate(r)
+		if charge != r.Charge {
+			changed = append(changed, r.ID)
+		}
+		r.Charge = charge
+		return after.Add(r)
+	})
+	if err != nil {
+		return err
+	}
+	if write {
+		router, err := routerOf(s)
+		if err != nil {
+			return err
+		}
+		l, err := cdr.OpenLedger(s, router, nil)
+		if err != nil {
+			return err
+		}
+		for i := 0; i < len(changed); i += rateBatch {
+			b := s.Batch()
+			for _, id := range changed[i:min(len(changed), i+rateBatch)] {
+				if _, err := l.Rerate(b, id, t); err != nil {
+					return err
+				}
+			}
+			if err := s.Commit(b); err != nil {
+				return err
+			}
+		}
+	}
+	if f.json {
+		return printJSON(map[string]any{"records": n, "changed": len(changed), "written": write, "before": before.Lines(), "after": after.Lines()})
+	}
+	fmt.Printf("%d records, %d with another charge\n\nbefore\n", n, len(changed))
+	printReport(os.Stdout, before.Lines())
+	fmt.Println("\nafter")
+	printReport(os.Stdout, after.Lines())
+	return nil
+}
+
+func printReport(w io.Writer, lines []cdr.Line) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "day\tclass\ttenant\tcalls\tstood\tcut\trefused\tfailed\tleft\tminutes\tcharge\tunrated\t")
+	for _, l := range lines {
+		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.2f\t%s %s\t%d\t\n", l.Day, l.Class, l.Tenant, l.Calls, l.Ends["stood"], l.Ends["cut"],
+			l.Ends["refused"], l.Ends["failed"], l.Ends["left"], l.Minutes, l.Charge, l.Currency, l.Unrated)
+	}
+	_ = t.Flush() // to standard output: nowhere is left to say so
+}
+
+func cdrReport() *cobra.Command {
+	f := &cdrFlags{}
+	var zone, file string
+	c := &cobra.Command{Use: "report", Args: cobra.NoArgs, Short: "Calls, minutes and charge by day, class and tenant",
+		RunE: func(*cobra.Command, []string) error {
+			z, err := time.LoadLocation(zone)
+			if err != nil {
+				return fmt.Errorf("--zone: %w", err)
+			}
+			if file != "" {
+				if err := plots.Known(file); err != nil {
+					return err
+				}
+			}
+			p := &cdr.Report{Zone: z}
+			f.filter.NewestVersions = true
+			err = f.with(false, func(s *store.Store) error {
+				return f.filter.Each(s, complain, func(_ uint64, r *cdr.Record) error { return p.Add(r) })
+			})
+			if err != nil {
+				return err
+			}
+			if file != "" {
+				if err := plotReport(file, p.Lines()); err != nil {
+					return err
+				}
+			}
+			if f.json {
+				return printJSON(map[string]any{"lines": p.Lines()})
+			}
+			printReport(os.Stdout, p.Lines())
+			return nil
+		}}
+	f.place(c)
+	f.pick(c)
+	c.Flags().StringVar(&zone, "zone", "UTC", "time zone of the days")
+	c.Flags().StringVar(&file, "plot", "", "draw calls by day and class into this file (.svg, .png)")
+	return c
+}
+
+// plotReport draws calls by day, a set of bars for each class.
+func plotReport(file string, lines []cdr.Line) error {
+	var days []string
+	place, classes := map[string]int{}, map[string]int{}
+	var series []plots.Series
+	for _, l := range lines {
+		if _, ok := place[l.Day]; !ok {
+			place[l.Day] = len(days)
+			days = append(days, l.Day)
+		}
+	}
+	for _, l := range lines {
+		i, ok := classes[l.Class]
+		if !ok {
+			i = len(series)
+			classes[l.Class] = i
+			series = append(series, plots.Series{Name: l.Class, Y: make([]float64, len(days))})
+		}
+		series[i].Y[place[l.Day]] += float64(l.Calls)
+	}
+	return plots.Bars(file, "Calls by day and class", "calls", days, series)
+}
--- /dev/null
+++ b/internal/plots/plots.go
@@ -0,0 +1,82 @@
+// Package plots draws what was measured, as SVG or PNG by the file's ending.
+package plots
+
+import (
+	"fmt"
+	"image/color"
+	"path/filepath"
+	"strings"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+)
+
+// Series is one line or one set of bars.
+type Series struct {
+	Name string
+	X    []float64 // of lines; bars stand at 0, 1, 2 …
+	Y    []float64
+}
+
+// colors tell series apart, also for readers who see red and green alike.
+var colors = []color.Color{color.RGBA{0, 114, 178, 255}, color.RGBA{230, 159, 0, 255}, color.RGBA{0, 158, 115, 255},
+	color.RGBA{204, 121, 167, 255}, color.RGBA{86, 180, 233, 255}, color.RGBA{213, 94, 0, 255}}
+
+// Known tells whether a file's ending is one that can be written.
+func Known(file string) error {
+	switch strings.ToLower(filepath.Ext(file)) {
+	case ".svg", ".png":
+		return nil
+	}
+	return fmt.Errorf("%s: a plot is written as .svg or .png", file)
+}
+
+func save(p *plot.Plot, file string) error {
+	if err := Known(file); err != nil {
+		return err
+	}
+	return p.Save(18*vg.Centimeter, 11*vg.Centimeter, file)
+}
+
+// Bars draws groups of bars, one group a label.
+func Bars(file, title, y string, labels []string, series []Series) error {
+	p := plot.New()
+	p.Title.Text, p.Y.Label.Text = title, y
+	p.Legend.Top = true
+	width := vg.Points(max(2, 220/float64(max(1, len(labels)*len(series)))))
+	for i, s := range series {
+		b, err := plotter.NewBarChart(plotter.Values(s.Y), width)
+		if err != nil {
+			return fmt.Errorf("%s: %w", s.Name, err)
+		}
+		b.Color, b.LineStyle.Width = colors[i%len(colors)], 0
+		b.Offset = width * vg.Length(float64(i)-float64(len(series)-1)/2)
+		p.Add(b)
+		p.Legend.Add(s.Name, b)
+	}
+	p.NominalX(labels...)
+	return save(p, file)
+}
+
+// Lines draws lines over a common axis.
+func Lines(file, title, x, y string, series []Series) error {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, x, y
+	p.Add(plotter.NewGrid())
+	for i, s := range series {
+		pts := make(plotter.XYs, min(len(s.X), len(s.Y)))
+		for j := range pts {
+			pts[j].X, pts[j].Y = s.X[j], s.Y[j]
+		}
+		l, err := plotter.NewLine(pts)
+		if err != nil {
+			return fmt.Errorf("%s: %w", s.Name, err)
+		}
+		l.Color, l.Width = colors[i%len(colors)], vg.Points(1.5)
+		p.Add(l)
+		p.Legend.Add(s.Name, l)
+	}
+	p.Legend.Top = true
+	return save(p, file)
+}
--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -117,7 +117,7 @@
 	r := &Recorder{opt: o}
 	var err error
 	r.store, err = store.Open(store.Options{Dir: o.Dir, FS: o.FS, Owner: Owner(o.Router), Schema: Schema(), FullWait: o.FullWait,
-		Memory: o.Memory, Full: r.diskFull, Broken: r.diskFailed})
+		Memory: o.Memory, Damage: func(text string) { o.Log(Error, "records: "+text, nil) }, Full: r.diskFull, Broken: r.diskFailed})
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/records/records_test.go
@@ -0,0 +1,398 @@
+package records
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/pebble/v2/vfs"
+	"go.uber.org/goleak"
+
+	"pipitring/internal/cdr"
+	"pipitring/internal/crashfs"
+	"pipitring/internal/export"
+	"pipitring/internal/standin"
+	"pipitring/internal/store"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+var day = time.Date(2026, 12, 1, 14, 0, 0, 0, time.UTC)
+
+// bed is a recorder whose wall clock the test sets.
+type bed struct {
+	t    *testing.T
+	opt  Options
+	rec  *Recorder
+	mu   sync.Mutex
+	wall time.Time
+	done uint64
+	more chan struct{}
+}
+
+func newBed(t *testing.T, fs vfs.FS) *bed {
+	b := &bed{t: t, wall: day, more: make(chan struct{}, 1)}
+	b.opt = Options{Dir: "records", FS: fs, Router: 3, Gate: store.GateSettings{SlowAfter: time.Hour, MaxQueue: 1 << 20}, MaxBatch: 64,
+		Alive: time.Hour, FullWait: time.Millisecond, Done: func(upTo uint64) {
+			b.mu.Lock()
+			b.done = upTo
+			b.mu.Unlock()
+			select {
+			case b.more <- struct{}{}:
+			default:
+			}
+		}, Wall: func() time.Time {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			return b.wall
+		}}
+	return b
+}
+
+func (b *bed) set(wall time.Time) {
+	b.mu.Lock()
+	b.wall = wall
+	b.mu.Unlock()
+}
+
+func (b *bed) open() {
+	b.t.Helper()
+	b.done = 0
+	var err error
+	if b.rec, err = Open(b.opt); err != nil {
+		b.t.Fatal(err)
+	}
+}
+
+func (b *bed) put(items ...cdr.Item) {
+	b.t.Helper()
+	ticket, ok := b.rec.Submit(items...)
+	if !ok {
+		b.t.Fatal("not taken")
+	}
+	for limit := time.Now().Add(20 * time.Second); ; {
+		b.mu.Lock()
+		done := b.done
+		b.mu.Unlock()
+		if done >= ticket {
+			return
+		}
+		select {
+		case <-b.more:
+		case <-time.After(time.Until(limit)):
+			b.t.Fatal("not durable in 20 s")
+		}
+	}
+}
+
+func (b *bed) record(call uint64, end cdr.End, answered time.Time) cdr.Record {
+	return cdr.Record{ID: b.rec.ID(call), End: end, Class: "status", Called: fmt.Sprint("1", call), Calling: fmt.Sprint("9", call), Origin: -1,
+		Dest: 1, Width: 1, Offered: day, Answered: answered, Ended: day.Add(time.Minute)}
+}
+
+func (b *bed) audit() *cdr.Audit {
+	b.t.Helper()
+	a, err := cdr.Verify(b.rec.Store())
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	return a
+}
+
+func (b *bed) versions(id cdr.ID) []*cdr.Record {
+	b.t.Helper()
+	all, err := cdr.Versions(b.rec.Store(), id)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	return all
+}
+
+// Calls that stood when their router was killed are closed once, with when they were last seen; those that ended are
+// left alone. A clock set back between the lives makes no length negative.
+func TestKilledWhileCallsStand(t *testing.T) {
+	for _, back := range []time.Duration{0, -2 * time.Hour} {
+		b := newBed(t, crashfs.New())
+		b.open()
+		stood, ended := b.rec.ID(1), b.rec.ID(2)
+		b.put(cdr.Item{Began: true, Record: b.record(1, 0, day)}, cdr.Item{Began: true, Record: b.record(2, 0, day)},
+			cdr.Item{Record: b.record(2, cdr.Stood, day)})
+		b.rec.Abandon()
+		b.set(day.Add(time.Hour + back))
+		b.open()
+		if b.rec.Status().Closed != 1 || b.rec.Status().Life != 2 {
+			t.Errorf("%+v", b.rec.Status())
+		}
+		got := b.versions(stood)
+		if len(got) != 1 || got[0].Known != cdr.ByRecovery || got[0].End != cdr.Stood || got[0].Length != 0 || got[0].Seen != day {
+			t.Errorf("closed as %+v", got)
+		}
+		if got := b.versions(ended); len(got) != 1 || got[0].Known == cdr.ByRecovery {
+			t.Errorf("ended as %+v", got)
+		}
+		b.rec.Abandon()
+		b.open()
+		if a := b.audit(); !a.Good() || a.Records != 2 || a.Open != 0 || b.rec.Status().Closed != 0 {
+			t.Errorf("after one more life: %+v", a)
+		}
+		if err := b.rec.Close(); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+func TestRatedAgain(t *testing.T) {
+	price := func(s string) *cdr.Tariffs {
+		p, err := cdr.ParseAmount(s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return &cdr.Tariffs{Currency: "AUD", Places: 2, Zone: time.UTC, List: []cdr.Tariff{{Name: "t" + s, Version: 1, Rates: []cdr.Rate{{SetUp: p}}}}}
+	}
+	b := newBed(t, crashfs.New())
+	b.opt.Rater = price("1")
+	b.open()
+	b.put(cdr.Item{Record: b.record(1, cdr.Stood, day)})
+	l, err := cdr.OpenLedger(b.rec.Store(), 3, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 2 { // the second changes nothing
+		batch := b.rec.Store().Batch()
+		if _, err := l.Rerate(batch, b.rec.ID(1), price("2")); err != nil {
+			t.Fatal(err)
+		}
+		if err := b.rec.Store().Commit(batch); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got := b.versions(b.rec.ID(1))
+	if len(got) != 2 || got[0].Charge.Amount != "1.00" || got[0].Charge.Tariff != "t1/1" || got[1].Charge.Amount != "2.00" || got[1].Version != 2 {
+		t.Errorf("%+v", got)
+	}
+	if _, err := l.Rerate(b.rec.Store().Batch(), cdr.ID{Router: 9}, price("2")); err == nil {
+		t.Error("a call without a record was rated again")
+	}
+	if err := b.rec.Close(); err != nil {
+		t.Error(err)
+	}
+}
+
+// step runs one step of an export of a recorder that runs no exports of its own.
+func (b *bed) step(e *cdr.Export, target export.Target) (bool, error) {
+	sent, _, err := export.Step(b.t.Context(), e, target, b.rec.Status().Last, true, func() time.Time { return day }, Commit(b.rec.Store()))
+	return sent, err
+}
+
+func (b *bed) exportSettings(f cdr.Format) cdr.ExportSettings {
+	return cdr.ExportSettings{Target: "out", Router: 3, Format: f, Most: 10, Least: 1, Keep: 100}
+}
+
+// A receiver that cuts off, loses answers, repeats, refuses, forgets and restarts gets each batch once, under one number.
+func TestTusThroughFaults(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		faults standin.ReceiverFaults
+		forget bool // the receiver loses its uploads before the next try
+		again  int  // how often a batch may come complete once more: only where the receiver itself forgot it
+	}{
+		{"none", standin.ReceiverFaults{}, false, 0},
+		{"cut off at the start", standin.ReceiverFaults{Cuts: 3, CutAfter: 0}, false, 0},
+		{"cut off in the middle", standin.ReceiverFaults{Cuts: 3, CutAfter: 700}, false, 0},
+		{"confirmation lost", standin.ReceiverFaults{LoseAnswers: 2}, false, 0},
+		{"making it lost", standin.ReceiverFaults{LoseMade: 1}, false, 0},
+		{"refused for a while", standin.ReceiverFaults{Refuse: 9}, false, 0},
+		{"cut off and forgotten", standin.ReceiverFaults{Cuts: 9, CutAfter: 300}, true, 0},
+		{"taken, its confirmation lost, and forgotten", standin.ReceiverFaults{LoseAnswers: 1, Refuse: 0}, true, 1},
+	} {
+		for _, format := range []cdr.Format{cdr.CSV, cdr.Parquet} {
+			b := newBed(t, crashfs.New())
+			b.open()
+			for call := range uint64(25) {
+				b.put(cdr.Item{Record: b.record(call+1, cdr.Stood, day)})
+			}
+			r, err := standin.NewReceiver()
+			if err != nil {
+				t.Fatal(err)
+			}
+			tus := export.NewTus(r.URL(), "", 500, 5*time.Second)
+			e, err := cdr.OpenExport(b.rec.Store(), b.exportSettings(format))
+			if err != nil {
+				t.Fatal(err)
+			}
+			r.Set(c.faults)
+			for tries := 0; e.Batches() < 3 || e.Done() < 25; tries++ {
+				if tries > 60 {
+					t.Fatalf("%s: not through after 60 tries: %d batches, done %d", c.name, e.Batches(), e.Done())
+				}
+				if _, err := b.step(e, tus); err != nil && c.forget {
+					r.Forget()
+				}
+				if tries%2 == 1 { // the exporter is killed between any two tries
+					if e, err = cdr.OpenExport(b.rec.Store(), b.exportSettings(format)); err != nil {
+						t.Fatal(err)
+					}
+				}
+			}
+			got, again, bad := r.Batches()
+			if len(got) != 3 || again > c.again || len(bad) > 0 {
+				t.Errorf("%s, %s: %d batches, %d came again, %v", c.name, format, len(got), again, bad)
+			}
+			ids := map[string]bool{}
+			for key, batch := range got {
+				list, err := cdr.ReadIDs(format, batch.Data)
+				if err != nil || fmt.Sprint(len(list)) != batch.Meta["count"] {
+					t.Errorf("%s: batch %s: %v, %d records", c.name, key, err, len(list))
+				}
+				for _, id := range list {
+					if ids[id] {
+						t.Errorf("%s: %s comes twice", c.name, id)
+					}
+					ids[id] = true
+				}
+			}
+			if len(ids) != 25 {
+				t.Errorf("%s: %d of 25 records", c.name, len(ids))
+			}
+			r.Close()
+			tus.Client.CloseIdleConnections()
+			if err := b.rec.Close(); err != nil {
+				t.Error(err)
+			}
+		}
+	}
+}
+
+// Of two exporters to one directory the second gives way, and says so; when the first has gone it has its turn.
+func TestTwoExporters(t *testing.T) {
+	fs := crashfs.New()
+	first, err := export.OpenDirectory(fs, "out")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := newBed(t, fs)
+	b.opt.Exports = []ExportOptions{{ExportSettings: b.exportSettings(cdr.CSV), Dir: "out"}}
+	b.open()
+	if st := b.rec.Status(); len(st.Exports) != 1 || !strings.Contains(st.Exports[0].Err, export.ErrTaken.Error()) {
+		t.Errorf("%+v", st.Exports)
+	}
+	b.put(cdr.Item{Record: b.record(1, cdr.Refused, time.Time{})})
+	if err := errors.Join(b.rec.Close(), first.Close()); err != nil {
+		t.Fatal(err)
+	}
+	b.open()
+	b.rec.Flush()
+	for limit := time.Now().Add(20 * time.Second); b.rec.Confirmed() < 1; time.Sleep(time.Millisecond) {
+		if time.Now().After(limit) {
+			t.Fatalf("not exported in 20 s: %+v", b.rec.Status().Exports)
+		}
+	}
+	a := b.audit()
+	if err := a.VerifyFiles(b.rec.Store(), export.Files{FS: fs, Dir: "out"}, 3); err != nil || !a.Good() || a.Exported != 1 {
+		t.Errorf("%+v, %v", a, err)
+	}
+	if err := b.rec.Close(); err != nil {
+		t.Error(err)
+	}
+}
+
+// What every export has confirmed is deleted when it is old, and nothing else.
+func TestTrim(t *testing.T) {
+	b := newBed(t, crashfs.New())
+	b.open()
+	for call := range uint64(30) {
+		b.put(cdr.Item{Record: b.record(call+1, cdr.Stood, day)})
+	}
+	for _, c := range []struct {
+		upTo   uint64
+		before time.Time
+		want   uint64 // the first that is left
+	}{{0, day.AddDate(1, 0, 0), 1}, {20, day, 1}, {20, day.Add(time.Hour), 21}, {20, day.Add(time.Hour), 21}, {30, day.Add(time.Hour), 31}} {
+		batch := b.rec.Store().Batch()
+		if _, err := cdr.Trim(b.rec.Store(), batch, c.upTo, c.before, 1000); err != nil {
+			t.Fatal(err)
+		}
+		if err := b.rec.Store().Commit(batch); err != nil {
+			t.Fatal(err)
+		}
+		if a := b.audit(); a.First != c.want || !a.Good() || a.Records != 31-c.want {
+			t.Errorf("up to %d before %v: %+v", c.upTo, c.before, a)
+		}
+	}
+	b.rec.Abandon()
+	b.open() // numbers go on where they were, though no record is left
+	b.put(cdr.Item{Record: b.record(1, cdr.Refused, time.Time{})})
+	if a := b.audit(); a.First != 31 || a.Last != 31 || !a.Good() {
+		t.Errorf("after a restart: %+v", a)
+	}
+	if err := b.rec.Close(); err != nil {
+		t.Error(err)
+	}
+}
+
+// A bit flipped anywhere in any file, or a file cut short: never a record that was not written, never a wrong one. The
+// store opens or says that it is damaged; what it lost is reported as a gap or as damage.
+func TestFlippedBits(t *testing.T) {
+	fs := crashfs.New()
+	b := newBed(t, fs)
+	b.opt.Memory = 32 << 10
+	b.open()
+	const calls = 200
+	for call := range uint64(calls) {
+		b.put(cdr.Item{Record: b.record(call+1, cdr.Stood, day)})
+	}
+	b.rec.Abandon()
+	names, err := fs.List("records")
+	if err != nil {
+		t.Fatal(err)
+	}
+	opened, refused, rescued := 0, 0, 0
+	for _, name := range names {
+		info, err := fs.Stat(fs.PathJoin("records", name))
+		if err != nil || info.IsDir() || info.Size() == 0 {
+			continue
+		}
+		for k := range int64(24) {
+			copied := fs.Crash(100, uint64(k))
+			if err := copied.Flip("records/"+name, k*info.Size()*8/24+k%8); err != nil {
+				t.Fatal(err)
+			}
+			told := ""
+			s, err := store.Open(store.Options{Dir: "records", FS: copied, Schema: Schema(), Damage: func(text string) { told = text }})
+			if err != nil {
+				refused++
+				continue
+			}
+			opened++
+			a, err := cdr.Verify(s)
+			if told != "" {
+				rescued++
+				// A chunk is gone, or two where the flip is in a length: not what lies behind.
+				if a == nil || a.Records < calls-2 {
+					t.Errorf("%s, part %d: %s, and %+v is left", name, k, told, a)
+				}
+			}
+			// The last chunk of the log cannot be told from one that a crash has torn.
+			if err == nil && a.Good() && a.Records < calls-1 {
+				t.Errorf("%s, part %d: %d of %d records, and nothing is said", name, k, a.Records, calls)
+			}
+			all := cdr.Filter{}
+			err = all.Each(s, func(uint64, error) {}, func(n uint64, r *cdr.Record) error {
+				if r.ID.Call != n || r.Called != fmt.Sprint("1", n) {
+					t.Errorf("%s, part %d: number %d is %+v", name, k, n, r)
+				}
+				return nil
+			})
+			if err != nil && !errors.Is(err, store.ErrDamaged) {
+				t.Errorf("%s, part %d: %v", name, k, err)
+			}
+			_ = s.Close()
+		}
+	}
+	if opened == 0 || refused == 0 || rescued == 0 {
+		t.Errorf("%d opened, %d of them gone round damage; %d refused", opened, rescued, refused)
+	}
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -49,6 +49,7 @@
 	Memory   uint64          // bytes gathered before they are sorted into a file; 0 is 8 MiB
 	FullWait time.Duration   // between tries while the disk is full
 	Full     func(full bool) // told when the disk fills up, and when it has room again; on any goroutine
+	Damage   func(string)    // told of damage that was found in opening and gone round
 	Broken   func(error)     // told, once, when the disk fails for good; on any goroutine
 }
 
@@ -110,14 +111,28 @@
 	if err != nil && o.ReadOnly {
 		return nil, fmt.Errorf("%s: %w", o.Dir, ErrMissing)
 	}
+	if o.Damage == nil {
+		o.Damage, s.opt.Damage = func(string) {}, func(string) {}
+	}
+	if err := checkLogs(o.FS, o.Dir, o.ReadOnly, o.Damage); err != nil {
+		return nil, fmt.Errorf("%s: %w", o.Dir, err)
+	}
 	fs := vfs.FS(s.hold)
 	// Keys are small and many: one long log costs a restart more than short memtables cost in service.
 	opt := &pebble.Options{FS: fs, Logger: words{s}, ReadOnly: o.ReadOnly, FormatMajorVersion: pebble.FormatNewest,
-		MemTableSize: cmp.Or(o.Memory, 8<<20), CacheSize: max(o.Cache, 4<<20)}
+		// Damage is the reader's to hear of, who goes on with the rest; by default it ends the process.
+		EventListener: &pebble.EventListener{DataCorruption: func(pebble.DataCorruptionInfo) {}},
+		MemTableSize:  cmp.Or(o.Memory, 8<<20), CacheSize: max(o.Cache, 4<<20)}
 	if s.db, err = openPebble(o.Dir, opt); err != nil {
 		return nil, fmt.Errorf("%s: %w", o.Dir, inTerms(err))
 	}
-	if err := s.welcome(); err != nil {
+	if !o.ReadOnly {
+		err = s.rescue()
+	}
+	if err == nil {
+		err = s.welcome()
+	}
+	if err != nil {
 		_ = s.Close()
 		return nil, fmt.Errorf("%s: %w", o.Dir, err)
 	}
--- /dev/null
+++ b/internal/store/store_test.go
@@ -0,0 +1,318 @@
+package store
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"pipitring/internal/crashfs"
+)
+
+func open(t *testing.T, o Options) *Store {
+	t.Helper()
+	s, err := Open(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func put(t *testing.T, s *Store, key, value string) {
+	t.Helper()
+	b := s.Batch()
+	b.Set([]byte(key), []byte(value))
+	if err := s.Commit(b); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestOpenChecksOwnerAndFormat(t *testing.T) {
+	fs := crashfs.New()
+	old := Options{Dir: "d", FS: fs, Owner: "a", Schema: Schema{Version: 1}}
+	s := open(t, old)
+	put(t, s, "k", "old")
+	if _, err := Open(old); !errors.Is(err, ErrInUse) {
+		t.Errorf("opened twice: %v", err)
+	}
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Open(Options{Dir: "d", FS: fs, Owner: "b", Schema: Schema{Version: 1}}); !errors.Is(err, ErrOwner) {
+		t.Errorf("another's: %v", err)
+	}
+	next := old
+	next.Schema = Schema{Version: 3, Upgrade: map[uint32]func(*Store, *Batch) error{
+		1: func(s *Store, b *Batch) error { b.Set([]byte("k"), []byte("newer")); return nil },
+		2: func(s *Store, b *Batch) error { b.Set([]byte("k2"), []byte("newest")); return nil }}}
+	ro := next
+	ro.ReadOnly = true
+	if _, err := Open(ro); err == nil || !strings.Contains(err.Error(), "older than 3") {
+		t.Errorf("read only: %v", err)
+	}
+	s = open(t, next)
+	for key, want := range map[string]string{"k": "newer", "k2": "newest"} {
+		if v, _, err := s.Get([]byte(key)); string(v) != want || err != nil {
+			t.Errorf("%s after the upgrade: %q, %v", key, v, err)
+		}
+	}
+	_ = s.Close()
+	if _, err := Open(old); !errors.Is(err, ErrNewer) {
+		t.Errorf("newer: %v", err)
+	}
+	if _, err := Open(Options{Dir: "nowhere", FS: fs, ReadOnly: true}); !errors.Is(err, ErrMissing) {
+		t.Errorf("missing: %v", err)
+	}
+}
+
+// An upgrade is whole or not begun, wherever it is cut off.
+func TestUpgradeThroughCrashes(t *testing.T) {
+	fs := crashfs.New()
+	s := open(t, Options{Dir: "d", FS: fs, Schema: Schema{Version: 1}})
+	for i := range 50 {
+		put(t, s, fmt.Sprint("k", i), "1")
+	}
+	_ = s.Close()
+	o := Options{Dir: "d", Schema: Schema{Version: 2, Upgrade: map[uint32]func(*Store, *Batch) error{1: func(s *Store, b *Batch) error {
+		for i := range 50 {
+			b.Set([]byte(fmt.Sprint("k", i)), []byte("2"))
+		}
+		return nil
+	}}}}
+	var after []*crashfs.FS
+	fs.Hook(func(p crashfs.Point) error { after = append(after, fs.Crash(int(p.N%3)*50, p.N)); return nil })
+	up := o
+	up.FS = fs
+	_ = open(t, up).Close()
+	fs.Hook(nil)
+	if len(after) < 5 {
+		t.Fatalf("%d points", len(after))
+	}
+	for i, fs := range after {
+		o.FS = fs
+		s := open(t, o)
+		for k := range 50 {
+			if v, _, err := s.Get([]byte(fmt.Sprint("k", k))); string(v) != "2" || err != nil {
+				t.Fatalf("point %d: k%d is %q, %v", i, k, v, err)
+			}
+		}
+		_ = s.Close()
+	}
+}
+
+// writer over a disk on which a hook decides.
+type rig struct {
+	fs   *crashfs.FS
+	s    *Store
+	w    *Writer[uint64]
+	mu   sync.Mutex
+	upTo uint64
+	more chan struct{}
+}
+
+func newRig(t *testing.T, g GateSettings) *rig {
+	r := &rig{fs: crashfs.New(), more: make(chan struct{}, 1)}
+	began := time.Now()
+	var w *Writer[uint64]
+	var mu sync.Mutex
+	with := func(f func(*Writer[uint64])) {
+		mu.Lock()
+		defer mu.Unlock()
+		if w != nil {
+			f(w)
+		}
+	}
+	r.s = open(t, Options{Dir: "d", FS: r.fs, FullWait: time.Millisecond,
+		Full:   func(full bool) { with(func(w *Writer[uint64]) { w.Full(full) }) },
+		Broken: func(err error) { with(func(w *Writer[uint64]) { w.Fail(err) }) }})
+	mu.Lock()
+	w = NewWriter(r.s, WriterOptions[uint64]{Gate: g, MaxBatch: 8, IdleEvery: time.Hour, Now: func() time.Duration { return time.Since(began) },
+		Build: func(b *Batch, items []uint64) error {
+			for _, i := range items {
+				b.Set(binary.BigEndian.AppendUint64([]byte("n"), i), []byte("v"))
+			}
+			return nil
+		},
+		Done: func(upTo uint64) {
+			r.mu.Lock()
+			r.upTo = upTo
+			r.mu.Unlock()
+			select {
+			case r.more <- struct{}{}:
+			default:
+			}
+		}})
+	mu.Unlock()
+	r.w = w
+	return r
+}
+
+// await waits until so many are durable.
+func (r *rig) await(t *testing.T, n uint64) {
+	t.Helper()
+	for {
+		r.mu.Lock()
+		got := r.upTo
+		r.mu.Unlock()
+		if got >= n {
+			return
+		}
+		select {
+		case <-r.more:
+		case <-time.After(20 * time.Second):
+			t.Fatalf("%d of %d durable after 20 s", got, n)
+		}
+	}
+}
+
+// state waits until the gate is in a state.
+func (r *rig) state(t *testing.T, want State) Status {
+	t.Helper()
+	for limit := time.Now().Add(20 * time.Second); ; time.Sleep(time.Millisecond) {
+		if st := r.w.Status(); st.State == want {
+			return st
+		} else if time.Now().After(limit) {
+			t.Fatalf("%+v after 20 s, want %v", st, want)
+		}
+	}
+}
+
+// The disk fills up under load and has room again: new calls are refused meanwhile, what was taken waits, and nothing
+// of it is lost.
+func TestDiskFullForAWhile(t *testing.T) {
+	r := newRig(t, GateSettings{OnFull: Refuse, SlowAfter: time.Hour, MaxQueue: 1000})
+	r.w.Submit(1, 2, 3)
+	r.await(t, 3)
+	r.fs.Hook(func(p crashfs.Point) error {
+		if p.Op == "write" || p.Op == "create" {
+			return syscall.ENOSPC
+		}
+		return nil
+	})
+	for i := uint64(4); i <= 500; i++ {
+		if _, ok := r.w.Submit(i); !ok {
+			t.Fatalf("%d is not taken", i)
+		}
+	}
+	if st := r.state(t, Full); st.Open || st.Waiting != 497 || st.Lost != 0 {
+		t.Errorf("full: %+v", st)
+	}
+	r.fs.Hook(nil)
+	r.await(t, 500)
+	if st := r.state(t, Healthy); !st.Open || st.Waiting != 0 {
+		t.Errorf("room again: %+v", st)
+	}
+	if err := r.w.Close(); err != nil {
+		t.Fatal(err)
+	}
+	n := 0
+	if err := r.s.Scan([]byte("n"), nil, func(_, _ []byte) error { n++; return nil }); err != nil || n != 500 {
+		t.Errorf("%d kept, %v", n, err)
+	}
+	if err := r.s.Close(); err != nil {
+		t.Error(err)
+	}
+}
+
+// More than may wait is lost, and counted.
+func TestQueueBound(t *testing.T) {
+	r := newRig(t, GateSettings{OnSlow: Refuse, OnFull: GoOn, SlowAfter: time.Hour, MaxQueue: 10})
+	r.fs.Hook(func(p crashfs.Point) error {
+		if p.Op == "write" {
+			return syscall.ENOSPC
+		}
+		return nil
+	})
+	taken := 0
+	for i := range uint64(30) {
+		if _, ok := r.w.Submit(i); ok {
+			taken++
+		}
+	}
+	if st := r.w.Status(); taken != 10 || st.Lost != 20 {
+		t.Errorf("%d taken, %+v", taken, st)
+	}
+	r.fs.Hook(nil)
+	r.await(t, 10)
+	_ = r.w.Close()
+	_ = r.s.Close()
+}
+
+// A disk that fails for good ends the writer: it says so, and takes nothing more.
+func TestDiskFails(t *testing.T) {
+	r := newRig(t, GateSettings{OnFailed: Refuse, SlowAfter: time.Hour, MaxQueue: 1000})
+	r.w.Submit(1)
+	r.await(t, 1)
+	r.fs.Hook(func(p crashfs.Point) error {
+		if p.Op == "sync" {
+			return syscall.EIO
+		}
+		return nil
+	})
+	r.w.Submit(2)
+	if st := r.state(t, Failed); st.Open {
+		t.Errorf("%+v", st)
+	}
+	if _, ok := r.w.Submit(3); ok {
+		t.Error("a record was taken by a disk that has failed")
+	}
+	r.fs.Hook(nil)
+	if err := r.w.Close(); err == nil {
+		t.Error("closed without an error")
+	}
+	_ = r.s.Close()
+}
+
+// Whatever the disk does in whatever order: the gate never admits more than may wait, counts what it turns away, and
+// opens again when all is well.
+func TestGate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		set := GateSettings{OnSlow: Answer(rapid.IntRange(0, 1).Draw(t, "slow")), OnFull: Answer(rapid.IntRange(0, 1).Draw(t, "full")),
+			OnFailed: Refuse, SlowAfter: time.Second, MaxQueue: rapid.IntRange(4, 40).Draw(t, "queue")}
+		g, now, waiting, turned := NewGate(set), time.Duration(0), 0, uint64(0)
+		since := time.Duration(0)
+		full := false
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 800).Draw(t, "ms")) * time.Millisecond
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0:
+				n := rapid.IntRange(1, 5).Draw(t, "n")
+				if waiting == 0 {
+					since = now
+				}
+				if g.Admit(n) {
+					waiting += n
+				} else {
+					turned += uint64(n)
+				}
+			case 1:
+				waiting, since = rapid.IntRange(0, waiting).Draw(t, "left"), now
+			case 2:
+				full = !full
+				g.Full(now, full)
+			}
+			g.Waiting(now, waiting, since)
+			if waiting > set.MaxQueue || g.Lost != turned || g.AtRisk() != waiting {
+				t.Fatalf("%d of %d wait, %d lost of %d turned away", waiting, set.MaxQueue, g.Lost, turned)
+			}
+			if state, _ := g.State(); full != (state == Full) || full && g.Open() != (set.OnFull == GoOn) {
+				t.Fatalf("full %v, state %v, open %v", full, state, g.Open())
+			}
+		}
+		g.Full(now, false)
+		g.Waiting(now, 0, now)
+		if state, _ := g.State(); state != Healthy || !g.Open() {
+			t.Fatalf("all well, and %v", state)
+		}
+		g.Fail(now)
+		if g.Open() || g.Admit(1) {
+			t.Fatal("a failed disk takes records")
+		}
+	})
+}
