--- a/cmd/pipitring/cdr.go
+++ b/cmd/pipitring/cdr.go
@@ -437,7 +437,7 @@
 			return err
 		}
 		charge := t.Rate(r)
-		if charge != r.Charge {
+		if !charge.Same(r.Charge) {
 			changed = append(changed, r.ID)
 		}
 		r.Charge = charge
--- /dev/null
+++ b/cmd/pipitring/cdr_test.go
@@ -0,0 +1,119 @@
+package main
+
+import (
+	"errors"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"pipitring/internal/cdr"
+	"pipitring/internal/records"
+	"pipitring/internal/store"
+)
+
+// output runs the program and returns what it printed.
+func output(t *testing.T, args ...string) (string, int) {
+	t.Helper()
+	r, w, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	old := os.Stdout
+	os.Stdout = w
+	text := make(chan string, 1)
+	go func() {
+		b, _ := io.ReadAll(r)
+		text <- string(b)
+	}()
+	status := run(args)
+	os.Stdout = old
+	if err := w.Close(); err != nil {
+		t.Fatal(err)
+	}
+	return <-text, status
+}
+
+func TestCDRCommands(t *testing.T) {
+	dir := t.TempDir()
+	kept := filepath.Join(dir, "records")
+	rec, err := records.Open(records.Options{Dir: kept, Router: 4, MaxBatch: 8, Alive: time.Hour,
+		Gate: store.GateSettings{SlowAfter: time.Hour, MaxQueue: 100}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := time.Date(2026, 12, 1, 2, 0, 0, 0, time.UTC)
+	for call := range uint64(5) {
+		class := map[bool]string{true: "alarm", false: "status"}[call == 2]
+		r := cdr.Record{ID: rec.ID(call + 1), End: cdr.Stood, Known: cdr.ByCaller, Class: class, Called: "21", Calling: "9", Width: 1,
+			Offered: at, Answered: at, Ended: at.Add(time.Minute), Length: time.Minute}
+		if _, ok := rec.Submit(cdr.Item{Record: r}); !ok {
+			t.Fatal("not taken")
+		}
+	}
+	if _, status := output(t, "cdr", "verify", "--store", kept); status != exitUse {
+		t.Errorf("of a running router: status %d", status)
+	}
+	if err := rec.Close(); err != nil {
+		t.Fatal(err)
+	}
+	tariffs := filepath.Join(dir, "tariffs.toml")
+	if err := os.WriteFile(tariffs, []byte("currency = \"AUD\"\n[[tariff]]\nname = \"t\"\nversion = 1\nfrom = \"2026-01-01\"\n"+
+		"[[tariff.rate]]\nclasses = [\"status\"]\nper_minute = \"0.12\"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		args   string
+		status int
+		want   string
+	}{
+		{"cdr list --store DIR", exitGood, "4-1-3/1"},
+		{"cdr list --store DIR --class alarm --json", exitGood, `{"damaged":0,"records":1}`},
+		{"cdr list --store DIR --end gone", exitUse, ""},
+		{"cdr list --store DIR --from yesterday", exitUse, ""},
+		{"cdr list --store DIR/none", exitUse, ""},
+		{"cdr list", exitUse, ""},
+		{"cdr rate --store DIR --tariffs TARIFFS", exitGood, "5 records, 4 with another charge"},
+		{"cdr report --store DIR", exitGood, "2026-12-01  status              4      4    0        0       0     0     4.00      0         4"},
+		{"cdr rate --store DIR --tariffs TARIFFS --write --json", exitGood, `"changed":4`},
+		{"cdr rate --store DIR --tariffs TARIFFS --write --json", exitGood, `"changed":0`},
+		{"cdr report --store DIR --json", exitGood, `"charge":"0.48"`},
+		{"cdr report --store DIR --plot DIR.gif", exitUse, ""},
+		{"cdr report --store DIR --plot DIR.svg", exitGood, ""},
+		{"cdr export --store DIR --to OUT", exitGood, ""},
+		{"cdr export --store DIR --to OUT", exitGood, ""},
+		{"cdr export --store DIR --to OUT2 --format xml", exitUse, ""},
+		{"cdr export --store DIR --to OUT2 --format parquet --json", exitGood, `{"batches_sent"`},
+		{"cdr verify --store DIR --files OUT --json", exitGood, `"exported":9`},
+		{"cdr verify --store DIR --files OUT2", exitGood, "9 records, numbers 1 to 9; 0 open calls, 1 unrated; 9 records in 1 exported batches"},
+	} {
+		args := strings.NewReplacer("DIR", kept, "TARIFFS", tariffs, "OUT", filepath.Join(dir, "out")).Replace(c.args)
+		got, status := output(t, strings.Fields(args)...)
+		if status != c.status || !strings.Contains(got, c.want) {
+			t.Errorf("%s: status %d, printed\n%s", c.args, status, got)
+		}
+	}
+	if info, err := os.Stat(kept + ".svg"); err != nil || info.Size() < 1000 {
+		t.Errorf("the plot: %v", err)
+	}
+	gap(t, kept)
+	if got, status := output(t, "cdr", "verify", "--store", kept); status != exitBroken || !strings.Contains(got, "no record under number 2") {
+		t.Errorf("with a gap: status %d, printed\n%s", status, got)
+	}
+}
+
+// gap takes the second record out.
+func gap(t *testing.T, dir string) {
+	t.Helper()
+	s, err := store.Open(store.Options{Dir: dir, Schema: records.Schema()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := s.Batch()
+	b.Delete(cdr.NumberKey(2))
+	if err := errors.Join(s.Commit(b), s.Close()); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/cmd/pipitring/lab.go
+++ b/cmd/pipitring/lab.go
@@ -15,7 +15,7 @@
 	c := &cobra.Command{Use: "lab", Short: "Load and experiments", RunE: func(cmd *cobra.Command, _ []string) error {
 		return fmt.Errorf("an experiment is needed: see %s --help", cmd.CommandPath())
 	}}
-	c.AddCommand(labCalls(), labFronts(), labFailover(), labStart(), labCrash())
+	c.AddCommand(labCalls(), labFronts(), labFailover(), labStart(), labCrash(), labRecords())
 	return c
 }
 
@@ -180,3 +180,37 @@
 	c.Flags().Uint64Var(&o.Seed, "seed", 1, "of calls and crashes")
 	return c
 }
+
+func labRecords() *cobra.Command {
+	var asJSON bool
+	o := lab.RecordsOptions{Progress: os.Stderr}
+	c := &cobra.Command{Use: "records", Args: cobra.NoArgs,
+		Short: "What call detail records cost: durable a second, delay added, bytes, recovery, export",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if o.Step <= 0 || o.Step > time.Minute || o.Records < 1 || o.Records > 10_000_000 || o.Rate <= 0 || o.Rate > 20000 {
+				return fmt.Errorf("--step has to be above 0, up to a minute, --records 1 to 10,000,000, --rate above 0, up to 20000")
+			}
+			r, err := lab.Records(cmd.Context(), o)
+			if err != nil {
+				return err
+			}
+			if asJSON {
+				return printJSON(r)
+			}
+			fmt.Printf("%.0f records/s durable on one core, %.0f a commit; %.0f bytes a record on disk (%.0f encoded); exported a second: csv %.0f, "+
+				"parquet %.0f\n", r.DurablePerSecond, r.PerCommit, r.BytesPerRecord, r.EncodedBytes, r.ExportPerSecond["csv"], r.ExportPerSecond["parquet"])
+			for _, mode := range []string{"none", "at_once", "durable"} {
+				fmt.Printf("at %.0f calls/s, records %s: set-up p50 %.0f us, p99 %.0f us, %d missed\n", r.Rate, mode, r.SetUpP50[mode], r.SetUpP99[mode],
+					r.Missed[mode])
+			}
+			fmt.Printf("recovery with 1,000, 10,000 and 100,000 open calls: %.0f, %.0f, %.0f ms\n", r.RecoveryMS["1000"], r.RecoveryMS["10000"],
+				r.RecoveryMS["100000"])
+			return nil
+		}}
+	c.Flags().BoolVar(&asJSON, "json", false, "print one JSON object")
+	c.Flags().DurationVar(&o.Step, "step", 4*time.Second, "length of each pass of calls")
+	c.Flags().Float64Var(&o.Rate, "rate", 980, "calls a second of the passes")
+	c.Flags().IntVar(&o.Records, "records", 300_000, "records that are made durable")
+	c.Flags().StringVar(&o.Dir, "dir", "", "directory on the disk to measure; default: the system's for temporary files")
+	return c
+}
--- a/internal/cdr/ledger.go
+++ b/internal/cdr/ledger.go
@@ -63,7 +63,8 @@
 	last   uint64 // the last number given
 	rater  Rater
 	buf    []byte
-	Closed int // calls closed by recovery
+	resume []byte // where Recover goes on: what lies before is closed, and would be walked through again
+	Closed int    // calls closed by recovery
 }
 
 // ErrNumbers says that the store's numbers contradict each other.
@@ -166,10 +167,11 @@
 // Marks that cannot be read are told to damaged and taken out; what is left of them is the id.
 func (l *Ledger) Recover(b Batch, limit int, damaged func(id ID, err error)) (closed int, err error) {
 	seen := map[uint32]time.Time{}
-	err = l.keep.Scan([]byte{prefixMark}, nil, func(key, value []byte) error {
+	err = l.keep.Scan([]byte{prefixMark}, l.resume, func(key, value []byte) error {
 		if len(key) != 1+idSize {
 			return fmt.Errorf("mark %x: no id", key)
 		}
+		l.resume = append(l.resume[:0], key...)
 		id := decodeID(key[1:])
 		if id.Life == l.life {
 			return nil
@@ -254,7 +256,7 @@
 	}
 	r := *all[len(all)-1]
 	charge := rater.Rate(&r)
-	if charge == r.Charge {
+	if charge.Same(r.Charge) {
 		return &r, nil // it says so already: a second asking changes nothing
 	}
 	r.Version++
--- a/internal/cdr/record.go
+++ b/internal/cdr/record.go
@@ -160,3 +160,6 @@
 
 // Rated tells whether a tariff said what the call costs.
 func (c Charge) Rated() bool { return c.Tariff != "" }
+
+// Same tells whether two charges say the same; two that are unrated do, whatever the reason.
+func (c Charge) Same(o Charge) bool { return c == o || !c.Rated() && !o.Rated() }
--- /dev/null
+++ b/internal/lab/recordcost.go
@@ -0,0 +1,208 @@
+package lab
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	goruntime "runtime"
+	"time"
+
+	"github.com/cockroachdb/pebble/v2/vfs"
+
+	"pipitring/internal/cdr"
+	"pipitring/internal/export"
+	"pipitring/internal/records"
+	"pipitring/internal/store"
+)
+
+// RecordsOptions are how `lab records` measures.
+type RecordsOptions struct {
+	Rate     float64       // calls a second of the delays
+	Step     time.Duration // of each pass
+	Records  int           // that are made durable
+	Dir      string        // on the disk that is measured; "" is the system's for temporary files
+	Progress io.Writer
+}
+
+// RecordsResult is what records cost. Delays are from NEW to ANSWER at the callers' sockets.
+type RecordsResult struct {
+	DurablePerSecond float64            `json:"records_durable_per_second"` // one writer, one core
+	PerCommit        float64            `json:"records_per_commit"`
+	BytesPerRecord   float64            `json:"bytes_per_record"` // on disk, after they are sorted
+	EncodedBytes     float64            `json:"encoded_bytes"`
+	ExportPerSecond  map[string]float64 `json:"export_records_per_second"` // by format, to a directory
+	SetUpP50         map[string]float64 `json:"setup_p50_us"`              // none, at_once, durable: in one run
+	SetUpP99         map[string]float64 `json:"setup_p99_us"`
+	Missed           map[string]int     `json:"missed"`
+	Rate             float64            `json:"at_calls_per_second"`
+	RecoveryMS       map[string]float64 `json:"recovery_ms"` // by calls that stood at the kill
+	Calls            int                `json:"calls"`
+	RulesBroken      int                `json:"rules_broken"` // no pass of this lab is captured: lab calls and days are
+	Cores            int                `json:"cores"`
+}
+
+// Records measures what keeping records costs, and how fast they come back after a kill.
+func Records(ctx context.Context, o RecordsOptions) (*RecordsResult, error) {
+	if o.Progress == nil {
+		o.Progress = io.Discard
+	}
+	dir, err := os.MkdirTemp(o.Dir, "pipitring-records-")
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = os.RemoveAll(dir) }() // of temporary files: the system cleans up what stays
+	r := &RecordsResult{Cores: goruntime.NumCPU(), Rate: o.Rate, SetUpP50: map[string]float64{}, SetUpP99: map[string]float64{},
+		Missed: map[string]int{}, RecoveryMS: map[string]float64{}, ExportPerSecond: map[string]float64{}}
+	if err := r.durable(filepath.Join(dir, "durable"), o.Records); err != nil {
+		return nil, err
+	}
+	fmt.Fprintf(o.Progress, "%.0f records a second durable, %.0f a commit\n", r.DurablePerSecond, r.PerCommit)
+	for _, open := range []int{1000, 10_000, 100_000} {
+		if err := r.recovery(filepath.Join(dir, fmt.Sprint("open-", open)), open); err != nil {
+			return nil, err
+		}
+	}
+	fmt.Fprintf(o.Progress, "recovery, ms by open calls: %v\n", r.RecoveryMS)
+	for _, mode := range []string{"none", "at_once", "durable"} {
+		tables := ""
+		if mode != "none" {
+			tables = fmt.Sprintf("[records]\ndir = %q\nanswer = %q\n", filepath.Join(dir, "calls-"+mode), mode)
+		}
+		p, err := callsThrough(ctx, callsPass{rate: o.Rate, length: o.Step, tables: tables})
+		if err != nil {
+			return nil, err
+		}
+		r.Calls += p.calls
+		r.SetUpP50[mode], r.SetUpP99[mode] = float64(p.hist.ValueAtQuantile(50)), float64(p.hist.ValueAtQuantile(99))
+		r.Missed[mode] = p.missed
+		fmt.Fprintf(o.Progress, "records %s: set-up p50 %.0f us, p99 %.0f us, %d missed\n", mode, r.SetUpP50[mode], r.SetUpP99[mode], p.missed)
+	}
+	return r, nil
+}
+
+// costRecord is an ordinary call's record.
+func costRecord(id cdr.ID) cdr.Record {
+	at := crashEpoch.Add(time.Duration(id.Call) * time.Millisecond)
+	return cdr.Record{ID: id, End: cdr.Stood, Cause: 16, Known: cdr.ByCaller, Class: "status-check", Called: fmt.Sprintf("21%07d", id.Call%1e7),
+		Calling: fmt.Sprintf("10%07d", id.Call%1e7), Context: "status-check", Front: "iax2", Origin: -1, Dest: 1, Width: 1, Offered: at,
+		Answered: at.Add(20 * time.Millisecond), Ended: at.Add(12 * time.Second), SetUp: 20 * time.Millisecond, Length: 12 * time.Second,
+		Attempts: []cdr.Attempt{{Exchange: 1, Front: "iax2", Outcome: "completed", Took: 20 * time.Millisecond}}}
+}
+
+func costOptions(dir string, done func(uint64)) records.Options {
+	return records.Options{Dir: dir, Router: 1, Rater: crashTariffs(), MaxBatch: 4096, Alive: time.Second, Done: done,
+		Gate: store.GateSettings{SlowAfter: time.Minute, MaxQueue: 1 << 16}}
+}
+
+// durable writes records as fast as they become durable, on one core.
+func (r *RecordsResult) durable(dir string, n int) error {
+	more := make(chan uint64, 1)
+	rec, err := records.Open(costOptions(dir, func(upTo uint64) {
+		select {
+		case <-more:
+		default:
+		}
+		more <- upTo
+	}))
+	if err != nil {
+		return err
+	}
+	defer goruntime.GOMAXPROCS(goruntime.GOMAXPROCS(1))
+	began := time.Now()
+	ticket := uint64(0)
+	for call := uint64(1); call <= uint64(n); {
+		t, ok := rec.Submit(cdr.Item{Record: costRecord(rec.ID(call))})
+		if ok {
+			ticket = t
+			call++
+		} else {
+			<-more
+		}
+	}
+	for upTo := range more {
+		if upTo >= ticket {
+			break
+		}
+	}
+	r.DurablePerSecond = float64(n) / time.Since(began).Seconds()
+	r.PerCommit = float64(n) / float64(rec.Status().Commits)
+	one := costRecord(rec.ID(1))
+	one.Charge = crashTariffs().Rate(&one)
+	r.EncodedBytes = float64(len(one.Encode(nil)))
+	if err := r.export(rec, dir); err != nil {
+		return errors.Join(err, rec.Close())
+	}
+	if err := rec.Store().Compact(cdr.NumberKey(0), []byte{255}); err != nil {
+		return errors.Join(err, rec.Close())
+	}
+	if err := rec.Close(); err != nil {
+		return err
+	}
+	// The log that is left would count twice: a store that is opened again has none.
+	s, err := store.Open(store.Options{Dir: dir, Schema: records.Schema()})
+	if err != nil {
+		return err
+	}
+	r.BytesPerRecord = float64(s.Size()) / float64(n)
+	return s.Close()
+}
+
+// export sends all records to a directory, in each format.
+func (r *RecordsResult) export(rec *records.Recorder, dir string) error {
+	last := rec.Status().Last
+	for _, f := range []cdr.Format{cdr.CSV, cdr.Parquet} {
+		o := records.ExportOptions{Dir: dir + "-" + string(f), ExportSettings: cdr.ExportSettings{Target: string(f), Router: 1, Format: f,
+			Most: 10_000, Least: 1, Keep: 10}}
+		e, err := cdr.OpenExport(rec.Store(), o.ExportSettings)
+		if err != nil {
+			return err
+		}
+		t, err := export.OpenDirectory(vfs.Default, o.Dir)
+		if err != nil {
+			return err
+		}
+		began := time.Now()
+		for sent := true; sent && err == nil; {
+			sent, _, err = export.Step(context.Background(), e, t, last, true, time.Now, records.Commit(rec.Store()))
+		}
+		if err = errors.Join(err, t.Close()); err != nil {
+			return err
+		}
+		r.ExportPerSecond[string(f)] = float64(last) / time.Since(began).Seconds()
+	}
+	return nil
+}
+
+// recovery kills a router's records while calls stand and opens them again.
+func (r *RecordsResult) recovery(dir string, open int) error {
+	done := make(chan uint64, 1)
+	rec, err := records.Open(costOptions(dir, func(upTo uint64) {
+		if upTo == uint64(open) {
+			done <- upTo
+		}
+	}))
+	if err != nil {
+		return err
+	}
+	for call := uint64(1); call <= uint64(open); {
+		if _, ok := rec.Submit(cdr.Item{Began: true, Record: costRecord(rec.ID(call))}); ok {
+			call++
+		} else {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	<-done
+	rec.Abandon()
+	if rec, err = records.Open(costOptions(dir, nil)); err != nil {
+		return err
+	}
+	st := rec.Status()
+	if st.Closed != open {
+		err = fmt.Errorf("%d of %d calls closed by recovery", st.Closed, open)
+	}
+	r.RecoveryMS[fmt.Sprint(open)] = float64(st.Recovery.Microseconds()) / 1000
+	return errors.Join(err, rec.Close())
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cockroachdb/pebble/v2"
+	"github.com/cockroachdb/pebble/v2/bloom"
 	"github.com/cockroachdb/pebble/v2/vfs"
 )
 
@@ -122,7 +123,10 @@
 	opt := &pebble.Options{FS: fs, Logger: words{s}, ReadOnly: o.ReadOnly, FormatMajorVersion: pebble.FormatNewest,
 		// Damage is the reader's to hear of, who goes on with the rest; by default it ends the process.
 		EventListener: &pebble.EventListener{DataCorruption: func(pebble.DataCorruptionInfo) {}},
-		MemTableSize:  cmp.Or(o.Memory, 8<<20), CacheSize: max(o.Cache, 4<<20)}
+		MemTableSize:  cmp.Or(o.Memory, 8<<20), CacheSize: cmp.Or(o.Cache, 32<<20)}
+	for i := range opt.Levels {
+		opt.Levels[i].FilterPolicy = bloom.FilterPolicy(10) // most keys that are asked for singly are not there
+	}
 	if s.db, err = openPebble(o.Dir, opt); err != nil {
 		return nil, fmt.Errorf("%s: %w", o.Dir, inTerms(err))
 	}
