--- a/internal/records/records_test.go
+++ b/internal/records/records_test.go
@@ -396,3 +396,32 @@
 		t.Errorf("%d opened, %d of them gone round damage; %d refused", opened, rescued, refused)
 	}
 }
+
+// A log of many blocks without damage is read as it is: what fills up the end of a block is none.
+func TestLongLogIsWhole(t *testing.T) {
+	fs := crashfs.New()
+	b := newBed(t, fs)
+	b.open()
+	for call := uint64(1); call <= 3000; call += 5 { // of all sizes, so that blocks end at every place
+		var items []cdr.Item
+		for k := range uint64(5) {
+			r := b.record(call+k, cdr.Stood, day)
+			r.User = strings.Repeat("u", int((call*7+k*13)%90))
+			items = append(items, cdr.Item{Record: r})
+		}
+		b.put(items...)
+	}
+	b.rec.Abandon()
+	b.opt.Log = func(level Level, text string, err error) {
+		if level > Info {
+			t.Errorf("%s, %v", text, err)
+		}
+	}
+	b.open()
+	if a := b.audit(); !a.Good() || a.Records != 3000 {
+		t.Errorf("%+v", a)
+	}
+	if err := b.rec.Close(); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/store/salvage.go
+++ b/internal/store/salvage.go
@@ -66,7 +66,7 @@
 	var whole []byte // of a batch in several chunks
 	open := false
 	for at := 0; at < len(log); {
-		if rest := logBlock - at%logBlock; rest < 7 {
+		if rest := logBlock - at%logBlock; rest < chunkHeader {
 			at += rest // too little for any chunk: filled up
 			continue
 		}
