--- a/internal/store/salvage_test.go
+++ b/internal/store/salvage_test.go
@@ -26,6 +26,9 @@
 // what lies behind says that it was durable; what was torn is not.
 func TestExamine(t *testing.T) {
 	for rest := range 2 * chunkHeader {
+		if rest >= chunkHeader && rest < chunkHeader+len("third") {
+			continue // the database would write it in two pieces
+		}
 		var log []byte
 		log = appendChunk(log, 7, 0, 0, bytes.Repeat([]byte{1}, logBlock-2*chunkHeader-100-rest))
 		first := len(log)
