--- a/internal/call/core.go
+++ b/internal/call/core.go
@@ -1,6 +1,7 @@
 package call
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -164,8 +165,8 @@
 		for _, e := range l.Entries {
 			named[e.Exchange] = true
 		}
-		for id, x := range c.list {
-			if !named[id] {
+		for _, id := range slices.Sorted(maps.Keys(c.list)) { // in order: two runs agree
+			if x := c.list[id]; !named[id] {
 				x.Phase, x.told = decide.Gone, now
 				c.endGrace(now, id)
 			}
--- a/internal/capture/capture.go
+++ b/internal/capture/capture.go
@@ -144,8 +144,13 @@
 	last   time.Time
 	raw    io.Writer
 	tsn    uint32
+	sink   func(Packet) // takes the packets in place of a file
 }
 
+// NewSink returns a writer that hands each packet on as Read would, at once and on the caller's goroutine; the payload is
+// the taker's during the call.
+func NewSink(f func(Packet)) *Writer { return &Writer{sink: f} }
+
 // NewWriter starts a capture on w, which Close closes if it can be closed.
 func NewWriter(w io.Writer) (*Writer, error) {
 	ng, err := pcapgo.NewNgWriterInterface(w, pcapgo.NgInterface{Name: "loopback", LinkType: layers.LinkTypeRaw,
@@ -162,11 +167,19 @@
 // Datagram records a datagram. Records are kept in order of time: one that comes late from another goroutine
 // takes the time of the one before it.
 func (c *Writer) Datagram(at time.Time, from, to Party, payload []byte) {
+	if c.sink != nil {
+		c.sink(Packet{At: at, From: from, To: to, Payload: payload})
+		return
+	}
 	c.write(at, from, to, iaxPort, payload)
 }
 
 // Notice records a notice.
 func (c *Writer) Notice(at time.Time, n Notice) {
+	if c.sink != nil {
+		c.sink(Packet{At: at, Notice: &n})
+		return
+	}
 	payload, err := json.Marshal(n)
 	if err != nil {
 		panic(err) // plain fields
@@ -185,6 +198,9 @@
 
 // Segment records bytes of a TCP stream, as they were read; seq is the number of bytes before them.
 func (c *Writer) Segment(at time.Time, from, to Party, seq uint32, payload []byte) {
+	if c.sink != nil {
+		return // the messages cut from it follow
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	tcp := &layers.TCP{SrcPort: m3uaPort, DstPort: m3uaPort, Seq: seq, ACK: true, PSH: true, Window: 65535}
@@ -193,6 +209,10 @@
 
 // Reset records the end of an association's connection, as one end saw it.
 func (c *Writer) Reset(at time.Time, from, to Party) {
+	if c.sink != nil {
+		c.sink(Packet{At: at, From: from, To: to, Reset: true})
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	tcp := &layers.TCP{SrcPort: m3uaPort, DstPort: m3uaPort, RST: true}
@@ -202,6 +222,10 @@
 // Message records one M3UA message cut from a stream. Analysers know M3UA over SCTP only, so it is written as an
 // SCTP packet that never was, and says so.
 func (c *Writer) Message(at time.Time, from, to Party, message []byte) {
+	if c.sink != nil {
+		c.sink(Packet{At: at, From: from, To: to, Payload: message, M3UA: true})
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.tsn++
--- a/internal/lab/day.go
+++ b/internal/lab/day.go
@@ -178,7 +178,7 @@
 	if err := f.stopRouters(); err != nil {
 		return err
 	}
-	res.kept, err = f.readRecords(&res.Records)
+	res.kept, err = f.ground.readRecords(&res.Records)
 	return err
 }
 
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -23,26 +23,77 @@
 	"pipitring/internal/standin"
 )
 
-// fleet is routers and their stand-ins on loopback.
+// router is one router of a fleet: on sockets or on the virtual network.
+type router interface {
+	Do(func(n *node.Node, now time.Duration)) error
+	Reload(*config.Settings) error
+	Kill() error
+	Stop() error
+	Addr() netip.AddrPort
+}
+
+// link is what lies between two routers.
+type link interface {
+	Set(standin.LinkFaults)
+	Close()
+}
+
+// register tells routers the exchange list.
+type register interface {
+	Publish(routers int, lines []standin.Line)
+	Lag(router int, d time.Duration)
+	Close()
+}
+
+// ground is where a fleet stands.
+type ground interface {
+	begin(x int, set *config.Settings) (router, error) // starts a router
+	wall() time.Time
+	listURL(x int) string               // where a router asks for the list
+	streamAddr(p [2]int) netip.AddrPort // where the lesser of two routers connects for M3UA
+	readRecords(res *DayRecords) (keptRecords, error)
+}
+
+// fleet is routers and their stand-ins.
 type fleet struct {
+	ground   ground
 	script   *Script
 	tap      *capture.Writer
 	log      *zap.Logger
 	rng      *rand.Rand
-	register *standin.Register
-	routers  []*runtime.Server // nil while killed
-	at       []netip.AddrPort  // where each listens
+	register register
+	routers  []router         // nil while killed
+	at       []netip.AddrPort // where each listens
 	switches []exchangeSwitch
 	callers  []*standin.Callers
-	links    map[[2]int]*standin.Link
-	streams  map[[2]int]*standin.StreamLink // of the pairs that signal by ISUP
-	m3ua     []netip.AddrPort               // where each router takes associations
-	circuits map[[2]int]int                 // of each group, by the lesser and the greater exchange
+	links    map[[2]int]link
+	streams  map[[2]int]link  // of the pairs that signal by ISUP
+	m3ua     []netip.AddrPort // where each router takes associations
+	circuits map[[2]int]int   // of each group, by the lesser and the greater exchange
 	keep     map[[2]int]float64
 	lines    []standin.Line
-	dir      string // of all that is kept on disk
+	dir      string        // of all that is kept on disk
+	late     time.Duration // how much later one tap may record what crossed than another
+}
+
+// sockets is a fleet's ground on loopback.
+type sockets struct {
+	f        *fleet
+	register *standin.Register
+	links    map[[2]int]*standin.Link
+	streams  map[[2]int]*standin.StreamLink
 }
 
+func (g *sockets) begin(x int, set *config.Settings) (router, error) {
+	return runtime.Start(set, g.f.log.With(zap.Int("exchange", x)))
+}
+
+func (g *sockets) wall() time.Time { return time.Now() }
+
+func (g *sockets) listURL(x int) string { return g.register.URL(x) }
+
+func (g *sockets) streamAddr(p [2]int) netip.AddrPort { return g.streams[p].Addr() }
+
 // exchangeSwitch is a stand-in switch of either protocol.
 type exchangeSwitch interface {
 	ID() string
@@ -80,13 +131,21 @@
 
 var anyPort = netip.MustParseAddrPort("127.0.0.1:0")
 
-// startFleet starts everything but the calls.
+// newFleet is a fleet that stands nowhere yet.
+func newFleet(s *Script, tap *capture.Writer, log *zap.Logger) *fleet {
+	n := s.Fleet.Exchanges
+	f := &fleet{script: s, tap: tap, log: log, rng: rand.New(rand.NewPCG(s.Seed, 3)), links: map[[2]int]link{},
+		streams: map[[2]int]link{}, m3ua: make([]netip.AddrPort, n), circuits: map[[2]int]int{}, keep: map[[2]int]float64{},
+		routers: make([]router, n), at: make([]netip.AddrPort, n), late: tapDelay}
+	return f
+}
+
+// startFleet starts everything but the calls, on loopback.
 func startFleet(s *Script, tap *capture.Writer, log *zap.Logger) (f *fleet, err error) {
 	n := s.Fleet.Exchanges
-	f = &fleet{script: s, tap: tap, log: log, rng: rand.New(rand.NewPCG(s.Seed, 3)), links: map[[2]int]*standin.Link{},
-		streams: map[[2]int]*standin.StreamLink{}, m3ua: make([]netip.AddrPort, n),
-		circuits: map[[2]int]int{}, keep: map[[2]int]float64{}, routers: make([]*runtime.Server, n),
-		at: make([]netip.AddrPort, n)}
+	f = newFleet(s, tap, log)
+	g := &sockets{f: f, links: map[[2]int]*standin.Link{}, streams: map[[2]int]*standin.StreamLink{}}
+	f.ground = g
 	defer func() {
 		if err != nil {
 			f.close()
@@ -97,22 +156,18 @@
 	}
 	f.notice(capture.Notice{Figures: f.figures()})
 	f.drawGroups()
-	if f.register, err = standin.NewRegister(tap, f.addrOf); err != nil {
+	if g.register, err = standin.NewRegister(tap, g.addrOf); err != nil {
 		return f, err
 	}
-	if err := f.openStreams(); err != nil {
+	f.register = g.register
+	if err := g.openStreams(); err != nil {
 		return f, err
 	}
 	for x := range n {
-		spec := standin.SwitchSpec{Exchange: x, Rate: s.Fleet.SetUpRate, QueueWait: s.Fleet.QueueWait, Lines: s.Fleet.Lines,
-			ColdFrom: s.Fleet.ColdFrom, ColdFor: s.Fleet.ColdFor, FallMultiple: s.Fleet.FallMultiple,
-			FallWindow: s.Fleet.FallWindow, RingFor: s.Fleet.Ring}
-		if err := f.startSwitch(x, spec); err != nil {
+		if err := f.startSwitch(x, f.switchSpec(x)); err != nil {
 			return f, err
 		}
-		sw := f.switches[x]
-		f.lines = append(f.lines, standin.Line{ID: sw.ID(), Exchange: x, Zone: f.region(x), Phase: "ready",
-			Started: time.Now().Add(-longWarm), Switch: sw.Addr()})
+		f.listSwitch(x)
 		if f.at[x], err = freePort(); err != nil {
 			return f, err
 		}
@@ -127,7 +182,7 @@
 			if err != nil {
 				return f, err
 			}
-			f.links[[2]int{a, b}] = l
+			g.links[[2]int{a, b}], f.links[[2]int{a, b}] = l, l
 			l.Set(f.linkFaults(a, b))
 		}
 	}
@@ -146,6 +201,19 @@
 	return f, f.awaitSignalling()
 }
 
+func (f *fleet) switchSpec(x int) standin.SwitchSpec {
+	s := &f.script.Fleet
+	return standin.SwitchSpec{Exchange: x, Rate: s.SetUpRate, QueueWait: s.QueueWait, Lines: s.Lines, ColdFrom: s.ColdFrom,
+		ColdFor: s.ColdFor, FallMultiple: s.FallMultiple, FallWindow: s.FallWindow, RingFor: s.Ring}
+}
+
+// listSwitch puts a switch that has long run on the list.
+func (f *fleet) listSwitch(x int) {
+	sw := f.switches[x]
+	f.lines = append(f.lines, standin.Line{ID: sw.ID(), Exchange: x, Zone: f.region(x), Phase: "ready",
+		Started: f.ground.wall().Add(-longWarm), Switch: sw.Addr()})
+}
+
 // byISUP tells whether two routers signal by ISUP over M3UA.
 func (f *fleet) byISUP(a, b int) bool {
 	front := f.script.Fleet.Front
@@ -153,7 +221,8 @@
 }
 
 // openStreams opens the links of associations: routers are told their addresses when they start.
-func (f *fleet) openStreams() error {
+func (g *sockets) openStreams() error {
+	f := g.f
 	n := f.script.Fleet.Exchanges
 	for x := range n {
 		if f.script.Fleet.Front == "iax2" {
@@ -173,7 +242,7 @@
 			if err != nil {
 				return err
 			}
-			f.streams[[2]int{a, b}] = l
+			g.streams[[2]int{a, b}], f.streams[[2]int{a, b}] = l, l
 			l.Set(f.linkFaults(a, b))
 		}
 	}
@@ -182,7 +251,7 @@
 
 func (f *fleet) notice(n capture.Notice) {
 	if f.tap != nil {
-		f.tap.Notice(time.Now(), n)
+		f.tap.Notice(f.ground.wall(), n)
 	}
 }
 
@@ -216,11 +285,11 @@
 func pair(a, b int) [2]int { return [2]int{min(a, b), max(a, b)} }
 
 // addrOf is the address by which one router knows another: an end of their link.
-func (f *fleet) addrOf(viewer, exchange int) netip.AddrPort {
+func (g *sockets) addrOf(viewer, exchange int) netip.AddrPort {
 	if viewer == exchange {
-		return f.at[exchange]
+		return g.f.at[exchange]
 	}
-	l := f.links[pair(viewer, exchange)]
+	l := g.links[pair(viewer, exchange)]
 	atA, atB := l.Ends()
 	if viewer < exchange {
 		return atA
@@ -269,9 +338,9 @@
 		s.Seed*1000+uint64(x)+1)
 	// The wait is set over the figure that is judged by: the far end counts from when it hears of the release, and so
 	// does the tap.
-	p("[rules]\nrelease_wait = %q\ndrain_grace = %q\ncold_from = %v\ncold_for = %q\nfall_multiple = %v", s.Fleet.ReleaseWait+tapDelay,
+	p("[rules]\nrelease_wait = %q\ndrain_grace = %q\ncold_from = %v\ncold_for = %q\nfall_multiple = %v", s.Fleet.ReleaseWait+f.late,
 		s.Fleet.DrainGrace, s.Fleet.ColdFrom, s.Fleet.ColdFor, s.Fleet.FallMultiple)
-	p("[list]\nregister = %q\nwait = \"10s\"", f.register.URL(x))
+	p("[list]\nregister = %q\nwait = \"10s\"", f.ground.listURL(x))
 	p("[iax]\nmax_per_host = 0\ncall_tokens = true\nretry_first = \"300ms\"\naccept_delay = \"100ms\"\nping_every = \"2s\"\nlinger = \"2s\"")
 	p("[records]\ndir = %q\ntariffs = %q", f.recordsDir(x), filepath.Join(f.dir, "tariffs.toml"))
 	p("[[user]]\nname = \"handheld-%d\"\nsecret = \"let me in\"", x)
@@ -279,7 +348,7 @@
 		p("[m3ua]\nlisten = %q\n[isup]\nt1 = \"1s\"\nt5 = \"20s\"\nt16 = \"1s\"\nt17 = \"20s\"", f.m3ua[x])
 	}
 	p("[switch]\ncircuits = %d", s.Fleet.Lines)
-	if s.Fleet.Front == "m3ua" {
+	if s.Fleet.Front == "m3ua" && f.late > 0 { // switches of the virtual clock speak IAX2
 		p("front = \"isup\"\npoint_code = %d", switchPoint(x))
 	}
 	for _, c := range s.Class {
@@ -299,7 +368,7 @@
 		}
 		p("[[group]]\nto = %d\ncircuits = %d\nfront = \"isup\"", y, f.circuits[pair(x, y)])
 		if x < y {
-			p("connect = [%q]", f.streams[pair(x, y)].Addr())
+			p("connect = [%q]", f.ground.streamAddr(pair(x, y)))
 		}
 	}
 	return config.Parse(fmt.Sprintf("router-%d.toml", x), []byte(b.String()))
@@ -310,7 +379,7 @@
 	if err != nil {
 		return err
 	}
-	r, err := runtime.Start(set, f.log.With(zap.Int("exchange", x)))
+	r, err := f.ground.begin(x, set)
 	if err != nil {
 		return fmt.Errorf("router %d: %w", x, err)
 	}
@@ -336,9 +405,16 @@
 // killAll ends routers at the same time: one after the other would take seconds.
 func (f *fleet) killAll(at []int) error { return f.each(at, f.kill) }
 
-// each does something to several exchanges at the same time.
+// each does something to several exchanges, on loopback at the same time; the virtual clock stands still meanwhile, and
+// what it plays is one goroutine's.
 func (f *fleet) each(at []int, do func(x int) error) error {
 	errs := make([]error, len(at))
+	if _, ok := f.ground.(*virtual); ok {
+		for i, x := range at {
+			errs[i] = do(x)
+		}
+		return errors.Join(errs...)
+	}
 	var wg sync.WaitGroup
 	for i, x := range at {
 		wg.Go(func() { errs[i] = do(x) })
@@ -385,7 +461,7 @@
 func (f *fleet) replace(x int) {
 	id := f.switches[x].Restart()
 	f.lines = slices.DeleteFunc(f.lines, func(l standin.Line) bool { return l.Exchange == x })
-	f.lines = append(f.lines, standin.Line{ID: id, Exchange: x, Zone: f.region(x), Phase: "ready", Started: time.Now(),
+	f.lines = append(f.lines, standin.Line{ID: id, Exchange: x, Zone: f.region(x), Phase: "ready", Started: f.ground.wall(),
 		Switch: f.switches[x].Addr()})
 	f.publish()
 }
@@ -486,6 +562,10 @@
 	if f.register != nil {
 		f.register.Close()
 	}
+	f.closeDir()
+}
+
+func (f *fleet) closeDir() {
 	if f.dir != "" {
 		_ = os.RemoveAll(f.dir) // of the system's temporary files: it cleans up what stays
 	}
--- a/internal/lab/records.go
+++ b/internal/lab/records.go
@@ -87,7 +87,8 @@
 }
 
 // readRecords audits the stores of all routers.
-func (f *fleet) readRecords(res *DayRecords) (keptRecords, error) {
+func (g *sockets) readRecords(res *DayRecords) (keptRecords, error) {
+	f := g.f
 	out := keptRecords{}
 	for x := range f.routers {
 		s, err := store.Open(store.Options{Dir: f.recordsDir(x), Schema: records.Schema(), ReadOnly: true})
@@ -103,7 +104,7 @@
 }
 
 // readKept audits one store; it returns the records of subscribers' calls by calling number.
-func readKept(s *store.Store, x int, res *DayRecords) (map[string][]kept, error) {
+func readKept(s cdr.Keeper, x int, res *DayRecords) (map[string][]kept, error) {
 	a, err := cdr.Verify(s)
 	if err != nil {
 		return nil, err
--- a/internal/lab/trouble.go
+++ b/internal/lab/trouble.go
@@ -195,7 +195,8 @@
 // strikeRegion strikes the links or groups between a region and the others.
 func (f *fleet) strikeRegion(t *Trouble, both func(func(bool) error) []step) []step {
 	return both(func(on bool) error {
-		for p, l := range f.links {
+		for _, p := range f.pairs() {
+			l := f.links[p]
 			inside := f.region(p[0]) == t.Region || f.region(p[1]) == t.Region
 			across := (f.region(p[0]) == t.Region) != (f.region(p[1]) == t.Region)
 			faults := f.linkFaults(p[0], p[1])
@@ -224,3 +225,15 @@
 		return nil
 	})
 }
+
+// pairs are the pairs of exchanges that a link joins, in order: two runs strike them alike.
+func (f *fleet) pairs() (out [][2]int) {
+	for a := range f.script.Fleet.Exchanges {
+		for b := a + 1; b < f.script.Fleet.Exchanges; b++ {
+			if f.links[[2]int{a, b}] != nil {
+				out = append(out, [2]int{a, b})
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/lab/virtual.go
@@ -0,0 +1,323 @@
+package lab
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"pipitring/decide"
+	"pipitring/internal/capture"
+	"pipitring/internal/config"
+	"pipitring/internal/node"
+	"pipitring/internal/registry"
+	"pipitring/internal/rules"
+	"pipitring/internal/standin"
+	"pipitring/internal/vnet"
+)
+
+const (
+	diskSync = 700 * time.Microsecond // of a commit on a virtual disk
+	askAfter = 5 * time.Millisecond   // a router asks for the list so long after its start
+)
+
+// VirtualOptions are how a day is played on the virtual clock.
+type VirtualOptions struct {
+	Mutate string  // the name of a planted bug in one router, "" is none
+	Drift  float64 // clocks of routers differ by up to this part
+	Steps  bool    // stop at the first rule that is broken
+	Watch  func(capture.Packet)
+}
+
+// VirtualResult is a day's result with what the world did.
+type VirtualResult struct {
+	DayResult
+	Trace   uint64        `json:"trace"` // hash of all that was delivered
+	Steps   uint64        `json:"steps"`
+	Virtual time.Duration `json:"virtual_ns"`
+	tries   []rules.Try
+}
+
+// virtual is a fleet's ground on the virtual clock.
+type virtual struct {
+	f        *fleet
+	w        *vnet.World
+	o        VirtualOptions
+	register *vregister
+	disks    []*vnet.Disk
+	lives    []int
+	drifts   []float64
+	mutation *vnet.Mutation // of router 0
+}
+
+func (g *virtual) wall() time.Time { return g.w.Wall() }
+
+func (g *virtual) listURL(int) string { return "http://127.0.0.1:9" } // nobody asks there
+
+func (g *virtual) streamAddr(p [2]int) netip.AddrPort { return vnet.RouterAddr(p[1]) }
+
+func (g *virtual) begin(x int, set *config.Settings) (router, error) {
+	o := vnet.RouterOptions{Disk: g.disks[x], Life: g.lives[x], Drift: g.drifts[x]}
+	if x == 0 {
+		o.Mutate = g.mutation
+	}
+	g.lives[x]++
+	r, err := g.w.Start(x, set, o)
+	if err != nil {
+		return nil, err
+	}
+	g.w.After(askAfter, func() { g.register.tell(x) })
+	return r, nil
+}
+
+func (g *virtual) readRecords(res *DayRecords) (keptRecords, error) {
+	out := keptRecords{}
+	for x, d := range g.disks {
+		var err error
+		if out[x], err = readKept(d, x, res); err != nil {
+			return nil, fmt.Errorf("records of router %d: %w", x, err)
+		}
+	}
+	return out, nil
+}
+
+// vregister tells routers the list on the virtual clock.
+type vregister struct {
+	g     *virtual
+	index uint64
+	views []view
+}
+
+// view is the list as one router may know it.
+type view struct {
+	index uint64
+	lines []standin.Line
+	lag   time.Duration
+	last  time.Duration // when the newest list becomes known, so that none overtakes another
+}
+
+func (r *vregister) Lag(x int, d time.Duration) { r.views[x].lag = d }
+
+func (r *vregister) Close() {}
+
+func (r *vregister) Publish(n int, lines []standin.Line) {
+	r.index++
+	index := r.index
+	for x := range n {
+		v := &r.views[x]
+		v.last = max(v.last, r.g.w.Now()+v.lag)
+		r.g.w.At(v.last, func() {
+			if index > v.index {
+				v.index, v.lines = index, lines
+				r.tell(x)
+			}
+		})
+	}
+}
+
+// tell tells a router that runs the list as it may know it.
+func (r *vregister) tell(x int) {
+	v := &r.views[x]
+	up, ok := r.g.f.routers[x].(*vnet.Router)
+	if !ok || v.index == 0 {
+		return
+	}
+	l := registry.List{Index: v.index}
+	told := capture.List{Router: x}
+	phases := map[string]decide.Phase{"ready": decide.Ready, "draining": decide.Draining, "gone": decide.Gone}
+	for _, line := range v.lines {
+		l.Entries = append(l.Entries, registry.Entry{ID: line.ID, Number: line.Exchange, Zone: line.Zone, Phase: phases[line.Phase],
+			Started: line.Started, Address: vnet.RouterAddr(line.Exchange), Switch: line.Switch})
+		told.Phases = append(told.Phases, capture.Phase{ID: line.ID, Exchange: line.Exchange, Phase: line.Phase})
+	}
+	slices.SortFunc(l.Entries, func(a, b registry.Entry) int { return a.Number - b.Number })
+	r.g.f.notice(capture.Notice{List: &told})
+	up.SetList(l)
+}
+
+// startVirtual starts a fleet on the virtual clock.
+func startVirtual(s *Script, tap *capture.Writer, o VirtualOptions) (g *virtual, err error) {
+	n := s.Fleet.Exchanges
+	f := newFleet(s, tap, zap.NewNop())
+	f.late = 0
+	w := vnet.New(s.Seed, tap)
+	g = &virtual{f: f, w: w, o: o, disks: make([]*vnet.Disk, n), lives: make([]int, n), drifts: make([]float64, n)}
+	g.register = &vregister{g: g, views: make([]view, n)}
+	f.ground, f.register = g, g.register
+	if o.Mutate != "" {
+		all := vnet.Mutations()
+		i := slices.IndexFunc(all, func(m *vnet.Mutation) bool { return m.Name == o.Mutate })
+		if i < 0 {
+			return nil, fmt.Errorf("no planted bug is named %q", o.Mutate)
+		}
+		g.mutation = all[i]
+	}
+	if err := f.openDir(); err != nil {
+		return nil, err
+	}
+	defer func() {
+		if err != nil {
+			f.closeDir()
+		}
+	}()
+	f.notice(capture.Notice{Figures: f.figures()})
+	f.drawGroups()
+	drift := w.Rand("drift")
+	for x := range n {
+		if s.Fleet.Front != "iax2" {
+			f.m3ua[x] = vnet.RouterAddr(x)
+		}
+		for y := x + 1; y < n; y++ {
+			l := w.Link(x, y)
+			l.Set(f.linkFaults(x, y))
+			f.links[[2]int{x, y}] = l
+			if f.byISUP(x, y) {
+				f.streams[[2]int{x, y}] = l
+			}
+		}
+		g.disks[x] = w.NewDisk(diskSync)
+		g.drifts[x] = o.Drift * (2*drift.Float64() - 1)
+		f.at[x] = vnet.RouterAddr(x)
+		sw, err := standin.NewSwitchOn(w, vnet.SwitchAddr(x), f.switchSpec(x), s.Seed, tap)
+		if err != nil {
+			return nil, err
+		}
+		f.switches = append(f.switches, sw)
+		f.listSwitch(x)
+		if err := f.startRouter(x); err != nil {
+			return nil, err
+		}
+		c, err := standin.NewCallersOn(w, vnet.CallersAddr(x), f.at[x], f.callersSpec(x), s.Seed, tap)
+		if err != nil {
+			return nil, err
+		}
+		f.callers = append(f.callers, c)
+	}
+	f.publish()
+	for x := range n {
+		f.register.Lag(x, s.Fleet.ListLag)
+	}
+	// Lists come and associations are made before the first call: two seconds of nothing else.
+	w.Run(2 * time.Second)
+	return g, nil
+}
+
+// errBrokenRule ends a day at the first rule that is broken.
+var errBrokenRule = errors.New("a rule is broken")
+
+// run plays until a time, and stops at a broken rule if that is asked for.
+func (g *virtual) run(until time.Duration, c *rules.Checker) error {
+	for g.w.Step(until) {
+		if g.o.Steps && len(c.Broken()) > 0 {
+			return errBrokenRule
+		}
+	}
+	return nil
+}
+
+// Virtual plays a script on the virtual clock, with the rules checked after every step from what crossed the network.
+func Virtual(ctx context.Context, s *Script, o VirtualOptions) (*VirtualResult, error) {
+	copied := *s // troubles fill in what they leave open
+	copied.Trouble = slices.Clone(s.Trouble)
+	s = &copied
+	began := time.Now()
+	res := &VirtualResult{DayResult: DayResult{Day: s.Name, Front: s.Fleet.Front}}
+	c := &rules.Checker{Keep: true, Exact: true}
+	tap := capture.NewSink(func(p capture.Packet) {
+		if o.Watch != nil {
+			o.Watch(p)
+		}
+		c.Packet(p)
+	})
+	g, err := startVirtual(s, tap, o)
+	if err != nil {
+		return nil, err
+	}
+	defer g.f.closeDir()
+	err = g.play(ctx, s, c, res)
+	if err != nil && !errors.Is(err, errBrokenRule) {
+		return nil, err
+	}
+	report := c.Report()
+	res.take(report)
+	res.tries = report.Each
+	if err == nil {
+		res.Records.match(report.Each, res.kept)
+	}
+	res.Trace, res.Steps, res.Virtual = g.w.Trace(), g.w.Steps, g.w.Now()
+	res.WallSeconds = time.Since(began).Seconds()
+	return res, nil
+}
+
+// play runs the fleet through its day and lets all come to its end.
+func (g *virtual) play(ctx context.Context, s *Script, c *rules.Checker, res *VirtualResult) error {
+	f, base := g.f, g.w.Now()
+	for _, caller := range f.callers {
+		caller.Start()
+	}
+	for _, st := range append(f.steps(), step{s.Length, "the day ends", func() error { return nil }}) {
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if err := g.run(base+min(st.at, s.Length), c); err != nil {
+			return err
+		}
+		if err := st.do(); err != nil {
+			return fmt.Errorf("%s: %w", st.what, err)
+		}
+	}
+	for _, caller := range f.callers {
+		caller.Stop()
+	}
+	longest := time.Duration(0)
+	for _, class := range s.Class {
+		longest = max(longest, class.Patience)
+	}
+	if err := g.run(g.w.Now()+longest+200*time.Millisecond, c); err != nil {
+		return err
+	}
+	for _, caller := range f.callers {
+		caller.HangUp()
+	}
+	if err := g.settle(c, res); err != nil {
+		return err
+	}
+	for _, r := range f.routers {
+		if r == nil {
+			continue
+		}
+		if err := r.Do(func(n *node.Node, _ time.Duration) {
+			res.Overdue += n.Core.Stats.Overdue
+			res.Faults += n.Core.Stats.Faults
+		}); err != nil {
+			return err
+		}
+	}
+	for _, sw := range f.switches {
+		res.SwitchFell += sw.Count().Fell
+	}
+	if err := f.stopRouters(); err != nil {
+		return err
+	}
+	g.w.Run(g.w.Now() + time.Second) // disks write what they have
+	var err error
+	res.kept, err = g.readRecords(&res.Records)
+	return err
+}
+
+// settle plays until nothing is held any more, or for a minute.
+func (g *virtual) settle(c *rules.Checker, res *VirtualResult) (err error) {
+	for range 60 {
+		if err := g.run(g.w.Now()+time.Second, c); err != nil {
+			return err
+		}
+		if res.LeftOver, err = g.f.left(); err != nil || res.LeftOver == (Left{}) {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/rules/isup.go
+++ b/internal/rules/isup.go
@@ -46,6 +46,10 @@
 			c.final(received, uint8(isup.REL), "REL", false, isup.CauseOf(&msg))
 			received.over = true
 		}
+	case isup.RLC:
+		if d := c.dialogs[key{to, from, number}]; d != nil {
+			c.learnt(d)
+		}
 	case isup.RSC, isup.GRS, isup.UCIC:
 		c.circuitsReset(from, to, &msg)
 	}
@@ -97,10 +101,13 @@
 	for i := range n {
 		number := onCircuit | uint16(msg.CIC) + uint16(i)
 		for _, d := range []*dialog{c.circuit(from, to, number), c.circuit(to, from, number)} {
-			if d != nil {
+			if d == nil {
+				continue
+			}
+			if !c.Exact || d.other == from {
 				c.callEnded(d)
-				c.attemptOver(d, "reset")
 			}
+			c.attemptOver(d, "reset")
 		}
 	}
 }
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -99,6 +99,7 @@
 // Checker judges packet by packet. The zero value is ready.
 type Checker struct {
 	Keep    bool // the report lists every try
+	Exact   bool // all is recorded at the moment at which it crossed: nothing is allowed for a busy machine
 	report  Report
 	first   time.Time
 	figures capture.Figures
@@ -132,6 +133,7 @@
 	token    bool   // the opened end asked for a call token
 	finals   []final
 	leftAt   time.Duration // the opener's HANGUP; 0 is none
+	leftMark uint32        // its timestamp
 	answered bool
 	over     bool // as an attempt
 	ended    bool // at the router that took it
@@ -209,6 +211,20 @@
 	c.full(p.From, p.To, f)
 }
 
+// Broken is what has been found so far.
+func (c *Checker) Broken() []Broken { return c.report.Broken }
+
+// exactSlack is what lies between a party and the router of its own exchange, there and back.
+const exactSlack = time.Millisecond
+
+// slack is what is allowed for a machine that records late.
+func (c *Checker) slack(d time.Duration) time.Duration {
+	if c.Exact {
+		return min(d, exactSlack)
+	}
+	return d
+}
+
 func (c *Checker) broken(r Rule, who capture.Party, call, format string, args ...any) {
 	c.report.Broken = append(c.report.Broken, Broken{r, c.now, who, call, fmt.Sprintf(format, args...)})
 }
@@ -289,6 +305,7 @@
 	}
 	if d := c.dialogs[key{from, to, f.Source}]; d != nil {
 		if f.Is(iax2.Hangup) {
+			d.leftMark = f.Timestamp
 			c.openerLeft(d)
 		}
 	}
@@ -348,7 +365,7 @@
 // judgeDrain is rule 3; a repeated opening counts as well, since the exchange may not have had the first.
 func (c *Checker) judgeDrain(from, to capture.Party, call string) {
 	since, ok := c.lists[from.Exchange][to.Exchange]
-	if ok && since >= 0 && c.now > since+c.figures.DrainGrace+graceSlack {
+	if ok && since >= 0 && c.now > since+c.figures.DrainGrace+c.slack(graceSlack) {
 		c.broken(DrainsKept, from, call, "set-up to %v %.3f s after it was told that no processor there is ready",
 			to, (c.now - since).Seconds())
 	}
@@ -361,12 +378,12 @@
 	case a.in > 1:
 		// The call has come twice, by an attempt that its sender has given up and by a new one, and the set-ups
 		// beyond cannot be told apart: each belongs to one of them.
-	case a.closedAt > 0 && c.now > a.closedAt+sendSlack:
+	case a.closedAt > 0 && c.now > a.closedAt+c.slack(sendSlack):
 		c.broken(OneAnswer, d.opener, d.call, "set-up to %v %.3f s after the call's end", d.other, (c.now - a.closedAt).Seconds())
 	case a.out != nil && !a.out.over && a.out.opened >= a.lastIn:
 		c.broken(OneAttempt, d.opener, d.call, "set-up to %v while the one to %v of %.3f s before is out", d.other, a.out.other,
 			(c.now - a.out.opened).Seconds())
-	case a.quiet > 0 && c.now < a.quiet-waitSlack:
+	case a.quiet > 0 && c.now < a.quiet-c.slack(waitSlack):
 		c.broken(ReleaseKept, d.opener, d.call, "set-up to %v %.3f s too early after the last one was %s", d.other,
 			(a.quiet - c.now).Seconds(), a.why)
 	}
@@ -417,6 +434,9 @@
 // reply judges what the opened end says.
 func (c *Checker) reply(d *dialog, f *iax2.Frame) {
 	d.token = d.token || f.Is(iax2.CallToken)
+	if f.Is(iax2.Inval) || f.Is(iax2.Ack) && f.Timestamp == d.leftMark {
+		c.learnt(d)
+	}
 	if f.Is(iax2.Inval) {
 		c.wasReset(d)
 		return
@@ -489,7 +509,7 @@
 
 // judgeLate is the part of rule 1 on time.
 func (c *Checker) judgeLate(d *dialog) {
-	if p := c.figures.Patience[d.context]; p > 0 && c.now-d.opened > p+answerSlack {
+	if p := c.figures.Patience[d.context]; p > 0 && c.now-d.opened > p+c.slack(answerSlack) {
 		c.broken(OneAnswer, d.other, d.call, "final answer %.3f s after the caller gave up", (c.now - d.opened - p).Seconds())
 	}
 }
@@ -503,10 +523,19 @@
 	if d.opener.Kind == capture.Callers && !d.judged {
 		c.judgeLeaving(d)
 	}
-	c.callEnded(d)
+	if !c.Exact || d.opener.Kind == capture.Callers {
+		c.callEnded(d)
+	} // else it is on its way over a link: the other end tells by its ACK or RLC that it has learnt of it
 	c.attemptOver(d, "cancelled or timed out")
 }
 
+// learnt ends a call at the router that its opener has left, once that shows to know it.
+func (c *Checker) learnt(d *dialog) {
+	if d.leftAt > 0 {
+		c.callEnded(d)
+	}
+}
+
 // judgeLeaving tells an impatient caller from one whose answer did not come in time.
 func (c *Checker) judgeLeaving(d *dialog) {
 	p := c.figures.Patience[d.context]
@@ -553,7 +582,7 @@
 	switch {
 	case c.wasDown(d):
 		c.outcome(d, Unanswered)
-	case p == 0 || c.now-d.opened < p+answerSlack:
+	case p == 0 || c.now-d.opened < p+c.slack(answerSlack):
 		c.outcome(d, Unfinished)
 	default:
 		c.outcome(d, Unanswered)
--- a/internal/runtime/records.go
+++ b/internal/runtime/records.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,7 +13,6 @@
 	"github.com/panjf2000/gnet/v2"
 	"go.uber.org/zap"
 
-	"pipitring/decide"
 	"pipitring/internal/call"
 	"pipitring/internal/cdr"
 	"pipitring/internal/config"
@@ -132,7 +130,7 @@
 	}
 	k.items = k.items[:0]
 	for i := range made {
-		k.items = append(k.items, cdr.Item{Began: made[i].Kind == call.Began, Record: k.record(&made[i])})
+		k.items = append(k.items, cdr.Item{Began: made[i].Kind == call.Began, Record: k.s.set.Record(&k.clock, k.rec.ID(made[i].Seq), &made[i])})
 	}
 	last := made[len(made)-1].Ticket
 	k.mu.Lock()
@@ -170,47 +168,6 @@
 	}))
 }
 
-// frontless names what carried a leg that never was.
-var outcomes = [...]string{"", "completed", "busy", "full", "timed out", "unreachable", "cut", "cancelled", "not sent"}
-
-func outcomeName(o decide.Outcome) string {
-	if int(o) < len(outcomes) {
-		return outcomes[o]
-	}
-	return strconv.Itoa(int(o))
-}
-
-var (
-	ends   = [...]cdr.End{call.Stood: cdr.Stood, call.CutOff: cdr.Cut, call.Refused: cdr.Refused, call.Failed: cdr.Failed, call.Left: cdr.Left}
-	knowns = [...]cdr.Known{call.ByRouter: cdr.ByRouter, call.ByCaller: cdr.ByCaller, call.ByFarEnd: cdr.ByFarEnd, call.ByLoss: cdr.ByLoss,
-		call.ByTimer: cdr.ByTimer}
-)
-
-// record puts a core's record in the form that is kept.
-func (k *keeping) record(r *call.Record) cdr.Record {
-	set := k.s.set
-	out := cdr.Record{ID: k.rec.ID(r.Seq), End: ends[r.End], Cause: uint8(r.Cause), Known: knowns[r.Known], Class: set.Class[r.Class].Name,
-		Called: r.Called, Calling: r.Calling, User: r.User, Context: r.Context, Front: r.Bearer.Front, Circuit: r.Bearer.Circuit,
-		Origin: r.Origin, Dest: r.Dest, Transit: r.Transit, Width: r.Width, Offered: k.clock.At(r.Offered)}
-	if r.Tenant < len(set.Tenant) {
-		out.Tenant = set.Tenant[r.Tenant].Name
-	}
-	end := r.Offered
-	for i := range r.Attempts {
-		a := &r.Attempts[i]
-		out.Attempts = append(out.Attempts, cdr.Attempt{Exchange: a.Exchange, Tandem: a.Tandem, Front: a.Bearer.Front,
-			Circuit: a.Bearer.Circuit, After: a.Sent - r.Offered, Took: a.Took, Outcome: outcomeName(a.Outcome), Cause: uint8(a.Cause)})
-		end = max(end, a.Sent+a.Took)
-	}
-	if r.SetUp > 0 {
-		answered := r.Offered + r.SetUp
-		end = answered + r.Length
-		out.Answered, out.SetUp, out.Length = k.clock.At(answered), r.SetUp, r.Length
-	}
-	out.Ended, out.Stepped = k.clock.At(end), k.clock.Stepped(r.Offered, end)
-	return out
-}
-
 // serveRecords answers with the kept records as lines of JSON, from a number on.
 func (k *keeping) serveRecords(w http.ResponseWriter, q *http.Request) {
 	filter := cdr.Filter{}
--- a/internal/runtime/server.go
+++ b/internal/runtime/server.go
@@ -77,7 +77,7 @@
 	if err := free(set.Router.Listen); err != nil {
 		return nil, fmt.Errorf("listening on %v: %w", set.Router.Listen, err)
 	}
-	s.node = node.New(s.nodeSettings())
+	s.node = node.New(set.Node(rand.Uint64(), rand.Uint64, func(number string) bool { return s.node.Core.Serves(number) }))
 	if err := s.openRecords(); err != nil {
 		return nil, err
 	}
@@ -148,26 +148,6 @@
 func (q quiet) Debugf(string, ...any) {}
 func (q quiet) Infof(string, ...any)  {}
 
-func (s *Server) nodeSettings() node.Settings {
-	x := &s.set.IAX
-	iax := iax2.Config{MaxDialogs: x.MaxDialogs, MaxPerHost: x.MaxPerHost, RetryFirst: x.RetryFirst,
-		RetryMax: x.RetryMax, Retries: x.Retries, AckDelay: x.AckDelay, AcceptDelay: x.AcceptDelay, Linger: x.Linger,
-		PingEvery: x.PingEvery, Refresh: x.Refresh, Tokens: x.CallTokens, Random: rand.Uint64}
-	if x.Challenge || len(s.set.User) > 0 {
-		iax.Secret = s.set.Secret
-	}
-	iax.OpenCalls = !x.Challenge
-	iax.Exists = func(number string) bool { return s.node.Core.Serves(number) }
-	n := node.Settings{Core: s.set.Core(rand.Uint64()), IAX: iax, Zones: s.set.Zones, Peers: map[iax2.Addr]int{},
-		ISUP: s.set.Front()}
-	for _, g := range s.set.Group {
-		if a, ok := iax2.AddrFrom(g.Peer); ok {
-			n.Peers[a] = g.To
-		}
-	}
-	return n
-}
-
 func (s *Server) source() registry.Source {
 	if s.set.List.File != "" {
 		return registry.File{Path: s.set.List.File}
--- a/internal/standin/callers.go
+++ b/internal/standin/callers.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"pipitring/internal/capture"
@@ -73,13 +75,18 @@
 
 // NewCallers opens the callers' socket; they call from Start on.
 func NewCallers(listen, router netip.AddrPort, spec CallersSpec, seed uint64, tap *capture.Writer) (*Callers, error) {
+	return NewCallersOn(NewSockets(), listen, router, spec, seed, tap)
+}
+
+// NewCallersOn opens their address on a network.
+func NewCallersOn(n Net, listen, router netip.AddrPort, spec CallersSpec, seed uint64, tap *capture.Writer) (*Callers, error) {
 	c := &Callers{spec: spec, rng: rand.New(rand.NewPCG(seed, 77+uint64(spec.Exchange))), factor: 1,
 		tally: map[string]*Tally{}, open: map[*iax2.Dialog]*try{}}
 	for _, cl := range spec.Classes {
 		c.tally[cl.Name] = &Tally{}
 	}
 	c.router, _ = iax2.AddrFrom(router)
-	h, err := newHost(listen, capture.Party{Kind: capture.Callers, Exchange: spec.Exchange},
+	h, err := newHost(n, listen, capture.Party{Kind: capture.Callers, Exchange: spec.Exchange},
 		capture.Party{Kind: capture.Router, Exchange: spec.Exchange}, tap, iax2.Config{AckDelay: 20 * time.Millisecond,
 			Linger: 2 * time.Second}, c.event)
 	if err != nil {
@@ -107,8 +114,10 @@
 // HangUp ends all calls.
 func (c *Callers) HangUp() {
 	c.host.Do(func() {
-		for d, t := range c.open {
-			c.hangUp(d, t)
+		// In order of their numbers: two runs hang up alike.
+		all := slices.SortedFunc(maps.Keys(c.open), func(a, b *iax2.Dialog) int { return int(a.Number()) - int(b.Number()) })
+		for _, d := range all {
+			c.hangUp(d, c.open[d])
 		}
 	})
 }
--- a/internal/standin/host.go
+++ b/internal/standin/host.go
@@ -3,8 +3,6 @@
 package standin
 
 import (
-	"errors"
-	"net"
 	"net/netip"
 	"sync"
 	"time"
@@ -19,54 +17,46 @@
 	maxDatagram = 2048
 )
 
-// Host is a socket with an IAX2 endpoint and one goroutine.
+// Host is an address with an IAX2 endpoint.
 type Host struct {
 	mu      sync.Mutex
-	conn    *net.UDPConn
+	net     Net
+	port    Port
 	ep      *iax2.Endpoint
 	cfg     iax2.Config
 	me      capture.Party
 	router  capture.Party // the only one that it speaks with
 	tap     *capture.Writer
-	start   time.Time
 	queue   timers.Queue[func()]
 	on      func(e iax2.Event)
 	deaf    bool                            // takes datagrams off the socket and nothing else
 	filter  func(frame []byte) (copies int) // of outgoing datagrams; nil sends each once
-	wakeAt  time.Duration
-	done    chan struct{}
 	closing bool
 }
 
-// newHost opens a socket; tap may be nil.
-func newHost(listen netip.AddrPort, me, router capture.Party, tap *capture.Writer, cfg iax2.Config, on func(iax2.Event)) (*Host, error) {
-	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(listen))
-	if err != nil {
-		return nil, err
-	}
-	_ = conn.SetReadBuffer(socketRoom) // what the system grants is enough
-	_ = conn.SetWriteBuffer(socketRoom)
-	h := &Host{conn: conn, ep: iax2.NewEndpoint(cfg), cfg: cfg, me: me, router: router, tap: tap, start: time.Now(),
-		on: on, done: make(chan struct{})}
-	return h, nil
+// newHost takes an address; tap may be nil.
+func newHost(n Net, listen netip.AddrPort, me, router capture.Party, tap *capture.Writer, cfg iax2.Config, on func(iax2.Event)) (*Host, error) {
+	h := &Host{net: n, ep: iax2.NewEndpoint(cfg), cfg: cfg, me: me, router: router, tap: tap, on: on}
+	var err error
+	h.port, err = n.Open(listen, h)
+	return h, err
 }
 
-// run starts the host's goroutine.
-func (h *Host) run() { go h.loop() }
+// run lets the host hear.
+func (h *Host) run() { h.port.Run() }
 
-// Addr is the socket's address.
-func (h *Host) Addr() netip.AddrPort { return h.conn.LocalAddr().(*net.UDPAddr).AddrPort() }
+// Addr is the host's address.
+func (h *Host) Addr() netip.AddrPort { return h.port.Addr() }
 
 // Close ends the host.
 func (h *Host) Close() {
 	h.mu.Lock()
 	h.closing = true
 	h.mu.Unlock()
-	h.conn.Close()
-	<-h.done
+	h.port.Close()
 }
 
-func (h *Host) now() time.Duration { return time.Since(h.start) }
+func (h *Host) now() time.Duration { return h.net.Now() }
 
 // Do runs f on the host's state.
 func (h *Host) Do(f func()) {
@@ -74,8 +64,8 @@
 	defer h.mu.Unlock()
 	f()
 	h.settle()
-	_ = h.conn.SetReadDeadline(time.Now()) // the loop looks at its timers again
-	h.wakeAt = 0
+	h.port.Woken()
+	h.port.Wake(h.now(), true) // timers are looked at again
 }
 
 // after runs f on the host's state later.
@@ -103,45 +93,43 @@
 		}
 		for range copies {
 			if h.tap != nil {
-				h.tap.Datagram(time.Now(), h.me, h.router, b)
+				h.tap.Datagram(h.net.Wall(), h.me, h.router, b)
 			}
-			_, _ = h.conn.WriteToUDPAddrPort(b, to.AddrPort()) // a full socket loses it, as a network would
+			h.port.Send(to, b)
 		}
 	}
 	out.Reset()
 }
 
-func (h *Host) loop() {
-	defer close(h.done)
-	buf := make([]byte, maxDatagram)
-	for {
-		n, from, err := h.conn.ReadFromUDPAddrPort(buf)
-		at := time.Now()
-		h.mu.Lock()
-		if h.closing {
-			h.mu.Unlock()
-			return
-		}
-		switch {
-		case err == nil:
-			if h.tap != nil {
-				h.tap.Datagram(at, h.router, h.me, buf[:n])
-			}
-			if a, ok := iax2.AddrFrom(from); ok && !h.deaf {
-				h.ep.Receive(h.now(), a, buf[:n])
-			}
-		case !isTimeout(err):
-			h.mu.Unlock()
-			return
-		default:
-			h.wakeAt = 0
-		}
-		h.work()
-		h.mu.Unlock()
+// Receive takes a datagram.
+func (h *Host) Receive(from iax2.Addr, b []byte) {
+	at := h.net.Wall()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.closing {
+		return
+	}
+	if h.tap != nil {
+		h.tap.Datagram(at, h.router, h.me, b)
 	}
+	if !h.deaf {
+		h.ep.Receive(h.now(), from, b)
+	}
+	h.work()
 }
 
-// work does what is due and sets the deadline of the next read.
+// Due does what is due.
+func (h *Host) Due() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.closing {
+		return
+	}
+	h.port.Woken()
+	h.work()
+}
+
+// work does what is due and tells the port when there will be more.
 func (h *Host) work() {
 	for again := true; again; {
 		now := h.now()
@@ -159,16 +147,5 @@
 	if at, eok := h.ep.Next(); eok && (!ok || at < next) {
 		next, ok = at, true
 	}
-	switch {
-	case ok && (h.wakeAt == 0 || next < h.wakeAt):
-		h.wakeAt = max(next, 1)
-		_ = h.conn.SetReadDeadline(h.start.Add(next))
-	case h.wakeAt == 0: // the deadline that is over would let no read through
-		_ = h.conn.SetReadDeadline(time.Time{})
-	}
-}
-
-func isTimeout(err error) bool {
-	var ne net.Error
-	return errors.As(err, &ne) && ne.Timeout()
+	h.port.Wake(next, ok)
 }
--- a/internal/standin/isuphost.go
+++ b/internal/standin/isuphost.go
@@ -414,7 +414,7 @@
 		if s.conn != nil {
 			s.conn.Close() // the new one makes an association of its own
 		}
-		noteStart(s.tap, &s.spec, s.life)
+		noteStart(s.tap, time.Now(), &s.spec, s.life)
 	})
 	return switchID(s.spec.Exchange, s.life)
 }
--- a/internal/standin/switch.go
+++ b/internal/standin/switch.go
@@ -62,9 +62,14 @@
 
 // NewSwitch starts a switch that has long been warm.
 func NewSwitch(listen netip.AddrPort, spec SwitchSpec, seed uint64, tap *capture.Writer) (*Switch, error) {
+	return NewSwitchOn(NewSockets(), listen, spec, seed, tap)
+}
+
+// NewSwitchOn starts one on a network.
+func NewSwitchOn(n Net, listen netip.AddrPort, spec SwitchSpec, seed uint64, tap *capture.Writer) (*Switch, error) {
 	s := &Switch{processor: newProcessor(spec, seed), calls: map[*iax2.Dialog]bool{}}
 	s.id = switchID(spec.Exchange, 0)
-	h, err := newHost(listen, capture.Party{Kind: capture.Switch, Exchange: spec.Exchange},
+	h, err := newHost(n, listen, capture.Party{Kind: capture.Switch, Exchange: spec.Exchange},
 		capture.Party{Kind: capture.Router, Exchange: spec.Exchange}, tap, s.endpoint(), s.event)
 	if err != nil {
 		return nil, err
@@ -148,7 +153,7 @@
 		s.down = false
 		s.restart(s.host.now())
 		s.host.deaf = s.faults.Silent
-		noteStart(s.host.tap, &s.spec, s.life)
+		noteStart(s.host.tap, s.host.net.Wall(), &s.spec, s.life)
 	})
 	return s.id
 }
@@ -221,9 +226,9 @@
 func switchID(exchange, life int) string { return fmt.Sprintf("exchange-%d-%d", exchange, life) }
 
 // noteStart tells the capture that a processor started cold.
-func noteStart(tap *capture.Writer, spec *SwitchSpec, life int) {
+func noteStart(tap *capture.Writer, at time.Time, spec *SwitchSpec, life int) {
 	if tap != nil {
-		tap.Notice(time.Now(), capture.Notice{Started: &capture.Started{Exchange: spec.Exchange, ID: switchID(spec.Exchange, life),
+		tap.Notice(at, capture.Notice{Started: &capture.Started{Exchange: spec.Exchange, ID: switchID(spec.Exchange, life),
 			Rate: spec.Rate, From: spec.ColdFrom, Warm: spec.ColdFor}})
 	}
 }
--- /dev/null
+++ b/internal/vnet/mutation.go
@@ -0,0 +1,138 @@
+package vnet
+
+import (
+	"time"
+
+	"pipitring/decide"
+	"pipitring/internal/cdr"
+	"pipitring/internal/iax2"
+	"pipitring/internal/node"
+	"pipitring/internal/registry"
+)
+
+// Mutation is a planted bug at one edge of a router: a setting that does not reach it, a message or record that goes
+// missing or comes twice. The explorer must find each; a nil one plants nothing.
+type Mutation struct {
+	Name     string
+	Breaks   string // the rule or invariant that it breaks
+	Settings func(*node.Settings)
+	Drop     func(f *iax2.Frame, n int) bool // of outgoing full frames; n counts those of its kind
+	Told     func(*registry.List)
+	Kept     func(items []cdr.Item, n int) []cdr.Item // n counts the items before
+
+	frames  map[[2]uint32]int
+	records int
+}
+
+func (m *Mutation) settings(s *node.Settings) {
+	if m != nil && m.Settings != nil {
+		m.Settings(s)
+	}
+}
+
+func (m *Mutation) list(l *registry.List) {
+	if m != nil && m.Told != nil {
+		l.Entries = append([]registry.Entry(nil), l.Entries...)
+		m.Told(l)
+	}
+}
+
+func (m *Mutation) items(items []cdr.Item) []cdr.Item {
+	if m == nil || m.Kept == nil {
+		return items
+	}
+	out := m.Kept(items, m.records)
+	m.records += len(items)
+	return out
+}
+
+func (m *Mutation) passes(_ iax2.Addr, b []byte) bool {
+	if m == nil || m.Drop == nil {
+		return true
+	}
+	var f iax2.Frame
+	if iax2.ParseFrame(b, &f) != nil || f.Shape != iax2.Full {
+		return true
+	}
+	if m.frames == nil {
+		m.frames = map[[2]uint32]int{}
+	}
+	k := [2]uint32{uint32(f.Type), f.Subclass}
+	m.frames[k]++
+	return !m.Drop(&f, m.frames[k])
+}
+
+// Mutations are the planted bugs. Each is new: it counts as it goes.
+func Mutations() []*Mutation {
+	every := func(k int) func(n int) bool { return func(n int) bool { return n%k == 0 } }
+	tenth, third := every(10), every(3)
+	return []*Mutation{
+		{Name: "no wait after a time-out", Breaks: "rule 5", Settings: func(s *node.Settings) { s.Core.Decide.ReleaseGuard = 0 }},
+		{Name: "half the wait after a time-out", Breaks: "rule 5", Settings: func(s *node.Settings) { s.Core.Decide.ReleaseGuard /= 2 }},
+		{Name: "a drain is not told", Breaks: "rule 3", Told: func(l *registry.List) {
+			for i := range l.Entries {
+				if l.Entries[i].Phase == decide.Draining {
+					l.Entries[i].Phase = decide.Ready
+				}
+			}
+		}},
+		{Name: "what goes is not told", Breaks: "rule 3", Told: func(l *registry.List) {
+			for i := range l.Entries {
+				if l.Entries[i].Phase == decide.Gone {
+					l.Entries[i].Phase = decide.Ready
+				}
+			}
+		}},
+		{Name: "set-ups are not withdrawn when the grace ends", Breaks: "rule 3", Settings: func(s *node.Settings) { s.Core.DrainGrace = time.Hour }},
+		{Name: "the answer comes after the caller's patience", Breaks: "rule 1", Settings: func(s *node.Settings) { s.Core.Margin = -300 * time.Millisecond }},
+		{Name: "a cold processor counts as warm", Breaks: "rule 4", Settings: func(s *node.Settings) { s.Core.Decide.ColdFor = 0 }},
+		{Name: "one in ten answers is not sent", Breaks: "rule 1 or left over", Drop: func(f *iax2.Frame, n int) bool {
+			return f.Type == iax2.FrameControl && f.Subclass == iax2.ControlAnswer && tenth(n)
+		}},
+		{Name: "one in three releases is not sent", Breaks: "left over", Drop: func(f *iax2.Frame, n int) bool {
+			return f.Type == iax2.FrameIAX && f.Subclass == iax2.Hangup && third(n)
+		}},
+		{Name: "one record in ten is not kept", Breaks: "records", Kept: func(items []cdr.Item, n int) (out []cdr.Item) {
+			for i, it := range items {
+				if it.Began || (n+i)%10 != 9 {
+					out = append(out, it)
+				}
+			}
+			return out
+		}},
+		{Name: "one record in ten is kept twice", Breaks: "records", Kept: func(items []cdr.Item, n int) (out []cdr.Item) {
+			for i, it := range items {
+				out = append(out, it)
+				if !it.Began && (n+i)%10 == 9 {
+					out = append(out, it)
+				}
+			}
+			return out
+		}},
+		{Name: "marks of standing calls are not kept", Breaks: "records", Kept: func(items []cdr.Item, _ int) (out []cdr.Item) {
+			for _, it := range items {
+				if !it.Began {
+					out = append(out, it)
+				}
+			}
+			return out
+		}},
+		{Name: "a call ends as another than it was", Breaks: "records", Kept: func(items []cdr.Item, n int) []cdr.Item {
+			for i := range items {
+				if (n+i)%10 == 9 && items[i].Record.End == cdr.Refused {
+					items[i].Record.End = cdr.Stood
+				}
+			}
+			return items
+		}},
+		{Name: "refusals go out as normal releases", Breaks: "records", Kept: func(items []cdr.Item, _ int) []cdr.Item {
+			for i := range items {
+				if items[i].Record.End == cdr.Failed {
+					items[i].Record.End = cdr.Refused
+				}
+			}
+			return items
+		}},
+		{Name: "call numbers are used again at once", Breaks: "rule 1 or 2", Settings: func(s *node.Settings) { s.IAX.Linger = time.Millisecond }},
+	}
+}
--- /dev/null
+++ b/internal/vnet/router.go
@@ -0,0 +1,358 @@
+package vnet
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"pipitring/internal/call"
+	"pipitring/internal/cdr"
+	"pipitring/internal/config"
+	"pipitring/internal/front/isupfront"
+	"pipitring/internal/iax2"
+	"pipitring/internal/node"
+	"pipitring/internal/registry"
+	"pipitring/internal/standin"
+	"pipitring/internal/timers"
+)
+
+// Pauses before an association is made anew, as the runtime has them.
+const (
+	firstPause  = 200 * time.Millisecond
+	longestWait = 10 * time.Second
+	steadyFor   = 5 * time.Second
+)
+
+// ErrStopped says that a router has been killed.
+var ErrStopped = errors.New("vnet: the router has stopped")
+
+// Router is a whole router on the virtual network: the node of the service on a clock, a socket, connections and a disk
+// of this world.
+type Router struct {
+	w       *World
+	x       int
+	set     *config.Settings
+	node    *node.Node
+	rng     *rand.Rand
+	start   time.Duration
+	drift   float64 // its clock runs so much faster
+	port    standin.Port
+	wake    timers.Entry[func()]
+	conns   map[isupfront.Conn]*End
+	last    isupfront.Conn
+	disk    *Disk
+	ledger  *cdr.Ledger
+	clock   cdr.Clock
+	dead    bool
+	Mutate  *Mutation // a planted bug; nil is none
+	Lost    int       // calls whose records a kill took: only what was on its way
+	pausing bool
+}
+
+// RouterOptions are what a router has beside its settings.
+type RouterOptions struct {
+	Disk   *Disk
+	Life   int     // how often it was started before
+	Drift  float64 // its clock runs so much faster than the world's
+	Mutate *Mutation
+}
+
+// Start starts the router of an exchange.
+func (w *World) Start(x int, set *config.Settings, o RouterOptions) (*Router, error) {
+	r := &Router{w: w, x: x, set: set, start: w.now, drift: o.Drift, conns: map[isupfront.Conn]*End{}, disk: o.Disk, Mutate: o.Mutate,
+		rng: w.Rand(fmt.Sprintf("router %d life %d", x, o.Life))}
+	r.wake.Value = r.due
+	ns := set.Node(r.rng.Uint64(), r.rng.Uint64, func(number string) bool { return r.node.Core.Serves(number) })
+	if r.disk != nil {
+		ns.Core.Prove = set.Records.AnswerWait
+		if err := r.openRecords(); err != nil {
+			return nil, err
+		}
+	}
+	r.Mutate.settings(&ns)
+	r.node = node.New(ns)
+	var err error
+	if r.port, err = w.Open(RouterAddr(x), r); err != nil {
+		return nil, err
+	}
+	for _, g := range set.ISUPGroups() {
+		if g.Front != config.FrontISUP {
+			continue
+		}
+		w.Accept(RouterAddr(x), r.accept)
+		if len(g.Connect) > 0 {
+			r.associate(g.To, firstPause)
+		}
+	}
+	return r, nil
+}
+
+// openRecords begins a life of the records: calls that stood in an earlier one are closed.
+func (r *Router) openRecords() error {
+	var rater cdr.Rater
+	if r.set.Tariffs != nil {
+		rater = r.set.Tariffs
+	}
+	var err error
+	if r.ledger, err = cdr.OpenLedger(r.disk, uint32(r.x), rater); err != nil {
+		return err
+	}
+	if err = r.disk.Now(func(b cdr.Batch) error { r.ledger.Begin(b, r.w.Wall()); return nil }); err != nil {
+		return err
+	}
+	for n := 1; n > 0 && err == nil; {
+		err = r.disk.Now(func(b cdr.Batch) (err error) {
+			n, err = r.ledger.Recover(b, 100, func(cdr.ID, error) {})
+			return err
+		})
+	}
+	if err != nil {
+		return err
+	}
+	r.alive()
+	return nil
+}
+
+// alive notes once a second that this life runs.
+func (r *Router) alive() {
+	if r.dead {
+		return
+	}
+	r.disk.Commit(func(b cdr.Batch) { r.ledger.Alive(b, r.w.Wall()) }, func() {})
+	r.w.After(time.Second, r.alive)
+}
+
+// now is the router's clock: it began at the router's start, and may run too fast.
+func (r *Router) now() time.Duration {
+	d := r.w.now - r.start
+	return d + time.Duration(r.drift*float64(d))
+}
+
+// at is when the router's clock shows a time.
+func (r *Router) at(t time.Duration) time.Duration {
+	d := time.Duration(float64(t) / (1 + r.drift))
+	for d+time.Duration(r.drift*float64(d)) < t {
+		d++
+	}
+	return r.start + d
+}
+
+// Addr is where the router listens.
+func (r *Router) Addr() netip.AddrPort { return RouterAddr(r.x) }
+
+// Receive takes a datagram.
+func (r *Router) Receive(from iax2.Addr, b []byte) {
+	if r.dead {
+		return
+	}
+	now := r.now()
+	r.clock.Look(now, r.w.Wall())
+	r.node.Receive(now, from, b)
+	r.settle(now)
+}
+
+// Due does what is due.
+func (r *Router) Due() { r.due() }
+
+func (r *Router) due() {
+	if r.dead {
+		return
+	}
+	now := r.now()
+	r.clock.Look(now, r.w.Wall())
+	r.settle(now)
+}
+
+// settle does what is due, sends what is to go and sets the timer, as the runtime does.
+func (r *Router) settle(now time.Duration) {
+	for {
+		at, ok := r.node.Next()
+		if !ok || at > now {
+			break
+		}
+		r.node.Advance(now)
+	}
+	r.node.Flush(now)
+	out := &r.node.IAX().Out
+	for i := range out.Len() {
+		to, b := out.At(i)
+		if r.Mutate.passes(to, b) {
+			r.port.Send(to, b)
+		}
+	}
+	out.Reset()
+	r.node.ISUP().Outgoing(func(id isupfront.Conn, b []byte) {
+		if e := r.conns[id]; e != nil {
+			e.Write(b)
+		}
+	}, func(id isupfront.Conn) {
+		if e := r.conns[id]; e != nil {
+			e.Close()
+		}
+	})
+	r.keep(now)
+	r.node.ISUP().Alarms = r.node.ISUP().Alarms[:0]
+	if at, ok := r.node.Next(); ok {
+		r.w.queue.Set(&r.wake, max(r.at(at), r.w.now+1))
+	} else {
+		r.w.queue.Stop(&r.wake)
+	}
+}
+
+// keep hands the core's records to the disk.
+func (r *Router) keep(now time.Duration) {
+	core := r.node.Core
+	made := core.Records
+	core.Records = nil
+	if r.disk == nil || len(made) == 0 {
+		return
+	}
+	items := make([]cdr.Item, 0, len(made))
+	for i := range made {
+		items = append(items, cdr.Item{Began: made[i].Kind == call.Began, Record: r.set.Record(&r.clock, r.ledger.ID(made[i].Seq), &made[i])})
+	}
+	items = r.Mutate.items(items)
+	ticket := made[len(made)-1].Ticket
+	r.disk.Commit(func(b cdr.Batch) { r.ledger.Put(b, items) }, func() {
+		if r.dead {
+			return
+		}
+		now := r.now()
+		r.node.Durable(now, ticket)
+		r.settle(now)
+	})
+}
+
+// Do runs f on the router.
+func (r *Router) Do(f func(n *node.Node, now time.Duration)) error {
+	if r.dead {
+		return ErrStopped
+	}
+	now := r.now()
+	f(r.node, now)
+	r.settle(now)
+	return nil
+}
+
+// SetList tells the router the exchange list.
+func (r *Router) SetList(l registry.List) {
+	if r.dead {
+		return
+	}
+	r.Mutate.list(&l)
+	now := r.now()
+	r.node.SetList(now, r.w.Wall(), l)
+	r.settle(now)
+}
+
+// Reload takes new settings over.
+func (r *Router) Reload(next *config.Settings) error {
+	if err := r.set.SameKind(next); err != nil {
+		return err
+	}
+	return r.Do(func(n *node.Node, now time.Duration) {
+		n.Core.Reset(now, next.Plan, next.Sizes, next.OwnCircuits(), next.Router.MaxCalls)
+	})
+}
+
+// Kill ends the router without a word: its connections are reset, its disk loses what was on its way.
+func (r *Router) Kill() error {
+	if r.dead {
+		return ErrStopped
+	}
+	r.stop()
+	if r.disk != nil {
+		r.disk.Crash()
+	}
+	return nil
+}
+
+// Stop ends the router when nothing stands any more: what its disk has to write comes to be.
+func (r *Router) Stop() error {
+	if r.dead {
+		return ErrStopped
+	}
+	r.stop()
+	return nil
+}
+
+func (r *Router) stop() {
+	r.dead = true
+	r.w.queue.Stop(&r.wake)
+	r.port.Close()
+	r.w.Accept(RouterAddr(r.x), nil)
+	for id := isupfront.Conn(1); id <= r.last; id++ { // in order: map order would differ from run to run
+		if e := r.conns[id]; e != nil {
+			e.Gone = nil
+			e.Close()
+		}
+	}
+}
+
+func (r *Router) accept(e *End) { r.connected(e, -1, nil) }
+
+// connected begins an association on a connection; gone is called when it has ended.
+func (r *Router) connected(e *End, exchange int, gone func()) {
+	r.last++
+	id := r.last
+	r.conns[id] = e
+	e.Data = func(b []byte) {
+		if r.dead {
+			return
+		}
+		now := r.now()
+		r.node.ISUP().Receive(now, id, b)
+		r.node.Pump(now)
+		r.settle(now)
+	}
+	e.Gone = func() {
+		if r.dead {
+			return
+		}
+		delete(r.conns, id)
+		now := r.now()
+		r.node.ISUP().Disconnected(now, id)
+		r.node.Pump(now)
+		r.settle(now)
+		if gone != nil {
+			gone()
+		}
+	}
+	now := r.now()
+	r.node.ISUP().Connected(now, id, exchange)
+	r.node.Pump(now)
+	r.settle(now)
+}
+
+// associate makes an association, and makes it anew after a pause that doubles.
+func (r *Router) associate(to int, pause time.Duration) {
+	began := r.w.now
+	again := func() {
+		if r.w.now-began > steadyFor {
+			pause = firstPause
+		}
+		wait := pause/2 + time.Duration(r.rng.Int64N(int64(pause)))
+		r.w.After(wait, func() {
+			if !r.dead {
+				r.associate(to, min(2*pause, longestWait))
+			}
+		})
+	}
+	r.w.Dial(r.x, to, func(e *End) {
+		switch {
+		case r.dead:
+			if e != nil {
+				e.Close()
+			}
+		case e == nil:
+			again()
+		default:
+			r.connected(e, to, again)
+		}
+	})
+}
+
+// Disk is the router's.
+func (r *Router) Disk() *Disk { return r.disk }
