--- a/cmd/pipitring/lab.go
+++ b/cmd/pipitring/lab.go
@@ -15,7 +15,7 @@
 	c := &cobra.Command{Use: "lab", Short: "Load and experiments", RunE: func(cmd *cobra.Command, _ []string) error {
 		return fmt.Errorf("an experiment is needed: see %s --help", cmd.CommandPath())
 	}}
-	c.AddCommand(labCalls(), labFronts(), labFailover(), labStart(), labCrash(), labRecords())
+	c.AddCommand(labCalls(), labFronts(), labFailover(), labStart(), labCrash(), labRecords(), labSeeds())
 	return c
 }
 
@@ -214,3 +214,60 @@
 	c.Flags().StringVar(&o.Dir, "dir", "", "directory on the disk to measure; default: the system's for temporary files")
 	return c
 }
+
+func labSeeds() *cobra.Command {
+	var asJSON bool
+	o := lab.SeedsOptions{Progress: os.Stderr}
+	c := &cobra.Command{Use: "seeds", Args: cobra.NoArgs,
+		Short: "Days drawn from seeds on a virtual clock, the rules checked after every step; a failing seed fails again exactly",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if o.Count < 1 || o.Count > 1_000_000 || o.Exchanges < 0 || o.Exchanges > 100 || o.Drift < 0 || o.Drift > 0.1 || o.Mutants < 0 || o.Jobs < 0 {
+				return fmt.Errorf("--count has to be 1 to 1,000,000, --exchanges 0 to 100, --drift 0 to 0.1, --mutants and --jobs not below 0")
+			}
+			r, err := lab.Seeds(cmd.Context(), o)
+			if err != nil {
+				return err
+			}
+			if asJSON {
+				err = printJSON(r)
+			} else {
+				printSeeds(r)
+			}
+			if err == nil && (r.Failed > 0 || r.MutantsFound < r.Mutants) {
+				err = errBroken
+			}
+			return err
+		}}
+	c.Flags().BoolVar(&asJSON, "json", false, "print one JSON object")
+	c.Flags().IntVar(&o.Count, "count", 1000, "seeds")
+	c.Flags().Uint64Var(&o.From, "from", 1, "the first seed")
+	c.Flags().IntVar(&o.Exchanges, "exchanges", 0, "exchanges of each day; 0 draws them")
+	c.Flags().Float64Var(&o.Drift, "drift", 0.01, "routers' clocks differ by up to this part")
+	c.Flags().IntVar(&o.Mutants, "mutants", 0, "seeds that may be spent on each planted bug; 0 plants none")
+	c.Flags().StringVar(&o.Mutate, "mutate", "", "plant this bug in every day")
+	c.Flags().BoolVar(&o.Shrink, "shrink", false, "cut failing days down to the fewest troubles and calls")
+	c.Flags().IntVar(&o.Jobs, "jobs", 0, "days at once; 0 is one a core")
+	return c
+}
+
+func printSeeds(r *lab.SeedsResult) {
+	fmt.Printf("%d seeds, %d failed; %d calls, %d steps in %.1f s: %.1f virtual seconds a second and core, %.0f steps\n", r.Seeds, r.Failed, r.Calls,
+		r.Steps, r.WallSeconds, r.PerCore, r.StepsPerS)
+	fmt.Printf("outcomes %v; pairs of kinds met: %d of %d; messages of %d names\n", r.Outcomes, r.PairsMet, r.PairsInAll, len(r.Messages))
+	for _, f := range r.Failures {
+		fmt.Printf("\nseed %d\n", f.Seed)
+		for _, w := range f.What {
+			fmt.Println("  ", w)
+		}
+		for _, e := range f.Events {
+			fmt.Print("    ", e)
+		}
+		fmt.Println("  replay:", f.Replay)
+		if f.Script != "" {
+			fmt.Println(f.Script)
+		}
+	}
+	for _, m := range r.Found {
+		fmt.Printf("planted: %s (breaks %s): seeds to find it: %d; %s\n", m.Name, m.Breaks, m.Seeds, m.By)
+	}
+}
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -78,6 +78,9 @@
 	if r.FallMultiple < 1 {
 		d.Report("rules.fall_multiple", "%v is under 1", r.FallMultiple)
 	}
+	if r.ClockDrift < 0 || r.ClockDrift > 0.1 {
+		d.Report("rules.clock_drift", "%v is not a part from 0 to 0.1", r.ClockDrift)
+	}
 	if r.MaxAttempts < 1 {
 		d.Report("rules.max_attempts", "%d attempts", r.MaxAttempts)
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -60,6 +60,7 @@
 	FallMultiple float64       `toml:"fall_multiple"`
 	MaxAttempts  int           `toml:"max_attempts"`
 	MaxStayAway  time.Duration `toml:"max_stay_away"`
+	ClockDrift   float64       `toml:"clock_drift"`
 }
 
 // Class is one class of call.
@@ -191,7 +192,7 @@
 	return File{
 		Router: Router{AnswerMargin: 60 * time.Millisecond, DrainLimit: 30 * time.Second, MaxCalls: 20000},
 		Rules: Rules{ReleaseWait: 300 * time.Millisecond, DrainGrace: time.Second, ColdFrom: 0.3,
-			ColdFor: 15 * time.Second, FallMultiple: 3, MaxAttempts: 5, MaxStayAway: 2 * time.Second},
+			ColdFor: 15 * time.Second, FallMultiple: 3, MaxAttempts: 5, MaxStayAway: 2 * time.Second, ClockDrift: 0.01},
 		List: List{Service: "exchange", Wait: 30 * time.Second},
 		IAX: IAX{RetryFirst: 500 * time.Millisecond, RetryMax: 4 * time.Second, Retries: 4,
 			AckDelay: 20 * time.Millisecond, AcceptDelay: 150 * time.Millisecond, Linger: 3 * time.Second,
@@ -238,7 +239,7 @@
 func (s *Settings) Decide() decide.Settings {
 	d := decide.Settings{Own: s.Router.Exchange, Deliver: true, Proxies: s.Router.Routers, OverShareWorth: s.OverShare,
 		MaxAttempts: s.Rules.MaxAttempts, RetryAfter: true, MaxStayAway: s.Rules.MaxStayAway,
-		ReleaseGuard: s.Rules.ReleaseWait, ResendAfter: s.IAX.RetryFirst, ColdFrom: s.Rules.ColdFrom,
+		ReleaseGuard: s.atLeast(s.Rules.ReleaseWait), ResendAfter: s.IAX.RetryFirst, ColdFrom: s.Rules.ColdFrom,
 		ColdFor: s.Rules.ColdFor, FallMultiple: s.Rules.FallMultiple}
 	for _, c := range s.Class {
 		d.Classes = append(d.Classes, decide.Class{Hold: c.Hold, Width: c.Width, Aim: c.Aim, Deadline: c.Deadline,
@@ -269,16 +270,26 @@
 		seed = s.Router.Seed
 	}
 	c := call.Settings{Decide: s.Decide(), Seed: seed, Groups: s.Sizes, Own: s.OwnCircuits(), Plan: s.Plan, Margin: s.Router.AnswerMargin,
-		DrainGrace: s.Rules.DrainGrace, MaxCalls: s.Router.MaxCalls}
+		DrainGrace: s.atMost(s.Rules.DrainGrace), MaxCalls: s.Router.MaxCalls}
 	if s.Records.Dir != "" && s.Records.Answer == AnswerDurable {
 		c.Prove = s.Records.AnswerWait
 	}
 	for _, class := range s.Class {
-		c.Patience = append(c.Patience, class.Patience)
+		c.Patience = append(c.Patience, s.atMost(class.Patience))
 	}
 	return c
 }
 
+// atLeast is what this router's clock has to show for a time to have passed on every clock that runs up to clock_drift
+// slower, atMost what it may show for a time not to have passed on one that runs faster.
+func (s *Settings) atLeast(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (1 + s.Rules.ClockDrift))
+}
+
+func (s *Settings) atMost(d time.Duration) time.Duration {
+	return time.Duration(float64(d) / (1 + s.Rules.ClockDrift))
+}
+
 // ISUPGroups are the groups, and the circuits to the own switch as one more.
 func (s *Settings) ISUPGroups() []Group {
 	w := s.Switch
--- /dev/null
+++ b/internal/lab/draw.go
@@ -0,0 +1,109 @@
+package lab
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// DrawOptions are how days are drawn from seeds.
+type DrawOptions struct {
+	Exchanges int                // 0 draws 3 to 12, now and then up to 40
+	Length    time.Duration      // 0 draws 6 to 14 s
+	Favour    map[[2]string]bool // pairs of kinds that have been met: others are drawn sooner
+}
+
+// Draw draws a day with overlapping troubles from a seed. The same seed and options draw the same day.
+func Draw(seed uint64, o DrawOptions) *Script {
+	rng := rand.New(rand.NewPCG(seed, 0xda4))
+	between := func(lo, hi float64) float64 { return lo + (hi-lo)*rng.Float64() }
+	span := func(lo, hi time.Duration) time.Duration { return lo + time.Duration(rng.Int64N(int64(hi-lo)+1)) }
+	s := defaultScript()
+	s.Name, s.Seed = fmt.Sprintf("seed %d", seed), seed
+	s.Length = o.Length
+	if s.Length == 0 {
+		s.Length = span(6*time.Second, 14*time.Second)
+	}
+	f := &s.Fleet
+	f.Exchanges = o.Exchanges
+	if f.Exchanges == 0 {
+		f.Exchanges = 3 + rng.IntN(10)
+		if rng.IntN(10) == 0 {
+			f.Exchanges = 12 + rng.IntN(29)
+		}
+	}
+	f.Regions = []string{"a", "b", "c"}[:1+rng.IntN(3)]
+	f.Circuits, f.Spread, f.Unlinked = 4+rng.IntN(40), between(0, 0.6), between(0, 0.3)
+	f.SetUpRate, f.QueueWait, f.Lines = between(20, 200), span(200*time.Millisecond, 3*time.Second), 10+rng.IntN(300)
+	f.Ring = span(0, 300*time.Millisecond)
+	f.ColdFrom, f.ColdFor = between(0.25, 0.5), span(2*time.Second, 8*time.Second)
+	f.DrainGrace = []time.Duration{250 * time.Millisecond, time.Second, 2 * time.Second}[rng.IntN(3)]
+	f.ReleaseWait = []time.Duration{200 * time.Millisecond, 300 * time.Millisecond}[rng.IntN(2)]
+	f.SameDelay, f.CrossDelay, f.Jitter = span(0, 5*time.Millisecond), span(2*time.Millisecond, 30*time.Millisecond), span(0, 10*time.Millisecond)
+	f.Lose, f.Repeat = between(0, 0.05), between(0, 0.05)
+	f.ListLag = span(0, 2*time.Second)
+	f.Front = FrontNames[rng.IntN(len(FrontNames))]
+	if f.DrainGrace == 250*time.Millisecond {
+		f.AcceptDelay = 50 * time.Millisecond // a quarter of the grace at the most
+	}
+	s.Load = LoadSpec{Rate: between(2, 14) * float64(f.Exchanges), Local: between(0, 0.4), Redials: rng.IntN(4),
+		Backoff: span(50*time.Millisecond, time.Second)}
+	s.Class = []ClassSpec{
+		{Name: "status-check", Share: 0.7, Hold: span(300*time.Millisecond, 5*time.Second), Aim: 1500 * time.Millisecond,
+			Patience: 3 * time.Second, Deadline: 9 * time.Second, Worth: 1, LateWorth: 0.25},
+		{Name: "alarm", Share: 0.3, Hold: span(300*time.Millisecond, 3*time.Second), Aim: time.Second, Patience: 2 * time.Second,
+			Deadline: 6 * time.Second, Worth: 5, LateWorth: 0.25}}
+	s.Trouble = drawTroubles(rng, &s, o.Favour)
+	return &s
+}
+
+// drawTroubles draws two to seven troubles that overlap; a pair of kinds that has not been met is drawn sooner.
+func drawTroubles(rng *rand.Rand, s *Script, met map[[2]string]bool) (out []Trouble) {
+	names := slices.Sorted(maps.Keys(kinds))
+	for range 2 + rng.IntN(6) {
+		name := names[rng.IntN(len(names))]
+		if len(out) > 0 {
+			for range 4 {
+				if !met[kindPair(name, out[0].Kind)] {
+					break
+				}
+				name = names[rng.IntN(len(names))]
+			}
+		}
+		k := kinds[name]
+		t := Trouble{Kind: name, At: time.Duration(rng.Int64N(int64(s.Length * 3 / 4))), For: time.Duration(rng.Int64N(int64(s.Length / 2))),
+			Part: rng.Float64(), Size: k.least + (k.most-k.least)*rng.Float64()*rng.Float64()}
+		if k.most > 10 {
+			t.Size = k.least + (min(k.most, 10)-k.least)*rng.Float64()
+		}
+		if k.region {
+			t.Region = s.Fleet.Regions[rng.IntN(len(s.Fleet.Regions))]
+		}
+		if t.Part == 0 {
+			t.Part = 0.5
+		}
+		out = append(out, t)
+	}
+	return out
+}
+
+func kindPair(a, b string) [2]string {
+	if a > b {
+		a, b = b, a
+	}
+	return [2]string{a, b}
+}
+
+// pairsOf are the pairs of kinds whose troubles overlap in a script.
+func pairsOf(s *Script) (out [][2]string) {
+	for i, a := range s.Trouble {
+		for _, b := range s.Trouble[i+1:] {
+			if a.At <= b.At+b.For && b.At <= a.At+a.For {
+				out = append(out, kindPair(a.Kind, b.Kind))
+			}
+		}
+	}
+	return out
+}
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -341,7 +341,7 @@
 	p("[rules]\nrelease_wait = %q\ndrain_grace = %q\ncold_from = %v\ncold_for = %q\nfall_multiple = %v", s.Fleet.ReleaseWait+f.late,
 		s.Fleet.DrainGrace, s.Fleet.ColdFrom, s.Fleet.ColdFor, s.Fleet.FallMultiple)
 	p("[list]\nregister = %q\nwait = \"10s\"", f.ground.listURL(x))
-	p("[iax]\nmax_per_host = 0\ncall_tokens = true\nretry_first = \"300ms\"\naccept_delay = \"100ms\"\nping_every = \"2s\"\nlinger = \"2s\"")
+	p("[iax]\nmax_per_host = 0\ncall_tokens = true\nretry_first = \"300ms\"\naccept_delay = %q\nping_every = \"2s\"\nlinger = \"2s\"", s.Fleet.AcceptDelay)
 	p("[records]\ndir = %q\ntariffs = %q", f.recordsDir(x), filepath.Join(f.dir, "tariffs.toml"))
 	p("[[user]]\nname = \"handheld-%d\"\nsecret = \"let me in\"", x)
 	if f.m3ua[x].IsValid() {
--- a/internal/lab/script.go
+++ b/internal/lab/script.go
@@ -48,6 +48,7 @@
 	Lose         float64       `toml:"lose"` // of datagrams between routers
 	Repeat       float64       `toml:"repeat"`
 	ListLag      time.Duration `toml:"list_lag"`
+	AcceptDelay  time.Duration `toml:"accept_delay"`
 	Front        string        `toml:"front"` // between routers: iax2, m3ua, or mixed
 }
 
@@ -146,7 +147,7 @@
 		Fleet: FleetSpec{Exchanges: 8, Regions: []string{"metro"}, Circuits: 30, SetUpRate: 120, QueueWait: 800 * time.Millisecond,
 			Lines: 400, Ring: 20 * time.Millisecond, ColdFrom: 0.3, ColdFor: 5 * time.Second, FallMultiple: 3,
 			FallWindow: 2 * time.Second, DrainGrace: time.Second, ReleaseWait: 300 * time.Millisecond,
-			ListLag: 100 * time.Millisecond, Front: "iax2"},
+			ListLag: 100 * time.Millisecond, AcceptDelay: 100 * time.Millisecond, Front: "iax2"},
 		Load: LoadSpec{Rate: 100, Redials: 2, Backoff: 700 * time.Millisecond}}
 }
 
--- a/internal/lab/virtual.go
+++ b/internal/lab/virtual.go
@@ -40,6 +40,8 @@
 	Steps   uint64        `json:"steps"`
 	Virtual time.Duration `json:"virtual_ns"`
 	tries   []rules.Try
+
+	firstCall string // that a rule was broken for
 }
 
 // virtual is a fleet's ground on the virtual clock.
@@ -245,6 +247,9 @@
 	report := c.Report()
 	res.take(report)
 	res.tries = report.Each
+	if len(report.Broken) > 0 {
+		res.firstCall = report.Broken[0].Call
+	}
 	if err == nil {
 		res.Records.match(report.Each, res.kept)
 	}
