--- a/internal/isup/group.go
+++ b/internal/isup/group.go
@@ -378,16 +378,19 @@
 	causeProtocol = 111
 )
 
-// Resume repeats at once what waits for an answer: the messages may have been lost while no link was up.
+// Resume repeats at once what waits for an answer: the messages may have been lost while no link was up. Their timers
+// begin anew: a REL that T1 repeats while the RLC to this one is on its way would end the circuit's next call.
 func (g *Group) Resume(now time.Duration) {
 	for _, c := range g.circuits {
 		switch {
 		case c.state == releasing:
 			g.Stats.Repeats++
 			g.send(c.cic, REL, Cause(c.cause))
+			g.queue.Set(&c.timer, min(now+g.cfg.Timers.T1, max(now, c.giveUpAt)))
 		case c.state == resetting && c.timer.Running():
 			g.Stats.Repeats++
 			g.send(c.cic, RSC)
+			g.queue.Set(&c.timer, now+g.cfg.Timers.T16)
 		}
 	}
 	if g.groupAsk != 0 {
--- a/internal/lab/records.go
+++ b/internal/lab/records.go
@@ -154,6 +154,7 @@
 		case twice(got):
 			d.Doubled++
 			d.find("%s: %d records", what, len(got))
+		case len(got) == 0 && !t.Heard && !answered: // it may never have come, or been asked for its token first
 		case len(got) == 0 && (answered && !(t.Down && t.Outcome == rules.Failed) || !t.Down):
 			d.Missing++
 			d.find("%s: no record", what)
--- a/internal/lab/seeds.go
+++ b/internal/lab/seeds.go
@@ -137,12 +137,11 @@
 	res := &SeedsResult{Outcomes: map[string]int{}, Kinds: map[string]int{}, Messages: map[string]int{}, met: map[[2]string]bool{},
 		Cores: o.Jobs}
 	began := time.Now()
-	// Seeds go in rounds: what a round has met steers the next one, whatever the number of cores.
-	const round = 50
+	const round = 50 // scripts that are held at once
 	for done := 0; done < o.Count && ctx.Err() == nil; done += round {
 		var scripts []*Script
 		for i := done; i < min(done+round, o.Count); i++ {
-			scripts = append(scripts, Draw(o.From+uint64(i), DrawOptions{Exchanges: o.Exchanges, Favour: res.met}))
+			scripts = append(scripts, Draw(o.From+uint64(i), DrawOptions{Exchanges: o.Exchanges}))
 		}
 		for _, e := range parallel(ctx, o, o.From+uint64(done), scripts) {
 			if e.err != nil {
@@ -239,7 +238,7 @@
 	}
 	var w tail
 	l := &rules.Ladder{Call: call, W: &w}
-	o.Watch = l.Packet
+	o.Watch, o.Steps = l.Packet, true // the day ends at the step that broke it
 	if _, err := Virtual(ctx, s, o); err != nil {
 		return []string{err.Error()}
 	}
--- a/internal/rules/isup.go
+++ b/internal/rules/isup.go
@@ -1,6 +1,8 @@
 package rules
 
 import (
+	"time"
+
 	"pipitring/internal/capture"
 	"pipitring/internal/isup"
 	"pipitring/internal/m3ua"
@@ -9,6 +11,9 @@
 // onCircuit marks dialog numbers that are CICs; IAX2 call numbers have 15 bits.
 const onCircuit = 0x8000
 
+// onItsWay is how long a message may be on its way over a link, with what TCP sends again.
+const onItsWay = time.Second
+
 // message judges one M3UA message. A circuit's call is a dialog like any other: IAM opens it, ANM or CON answers
 // it, REL of either end is its end.
 func (c *Checker) message(from, to capture.Party, b []byte) {
@@ -35,14 +40,19 @@
 	switch msg.Type {
 	case isup.IAM:
 		c.seized(key{from, to, number}, received, &msg, d.OPC > d.DPC)
+	case isup.ACM:
+		if received != nil {
+			received.heard = true
+		}
 	case isup.ANM, isup.CON:
 		if received != nil {
+			received.heard = true
 			c.final(received, uint8(isup.ANM), msg.Type.String(), true, 0)
 		}
 	case isup.REL:
 		if sent != nil {
 			c.openerLeft(sent)
-		} else if received != nil {
+		} else if received != nil && (!c.Exact || received.heard) { // else it is of the circuit's last call, and crosses the IAM
 			c.final(received, uint8(isup.REL), "REL", false, isup.CauseOf(&msg))
 			received.over = true
 		}
@@ -104,7 +114,7 @@
 			if d == nil {
 				continue
 			}
-			if !c.Exact || d.other == from {
+			if !c.Exact || d.other == from && d.heard { // what crosses an IAM knows nothing of it
 				c.callEnded(d)
 			}
 			c.attemptOver(d, "reset")
@@ -117,8 +127,12 @@
 func (c *Checker) associationLost(a, b capture.Party) {
 	for k, d := range c.dialogs {
 		between := k.opener == a && k.other == b || k.opener == b && k.other == a
-		if between && k.number&onCircuit != 0 && !d.answered && !d.over {
-			c.callEnded(d)
+		// An answer that was on its way is lost with it: to its opener that call never stood.
+		standing := d.answered && (!c.Exact || c.now-d.stoodAt > onItsWay)
+		if between && k.number&onCircuit != 0 && !standing && !d.over {
+			if !c.Exact {
+				c.callEnded(d)
+			}
 			c.attemptOver(d, "cut with its association")
 		}
 	}
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -86,6 +86,7 @@
 	Call    string // its calling number
 	Outcome Outcome
 	Down    bool // the router was killed, or did not run, in its time
+	Heard   bool // the router showed to have the call
 }
 
 // Count adds an outcome over all contexts.
@@ -135,8 +136,10 @@
 	leftAt   time.Duration // the opener's HANGUP; 0 is none
 	leftMark uint32        // its timestamp
 	answered bool
-	over     bool // as an attempt
-	ended    bool // at the router that took it
+	heard    bool          // on a circuit: the opened end has shown to have the set-up
+	stoodAt  time.Duration // when it was answered
+	over     bool          // as an attempt
+	ended    bool          // at the router that took it
 	judged   bool
 }
 
@@ -256,6 +259,9 @@
 		if d.opener == (capture.Party{Kind: capture.Router, Exchange: router}) {
 			d.over = true
 		}
+		if d.other == (capture.Party{Kind: capture.Router, Exchange: router}) {
+			d.ended = true // it counts there no more
+		}
 	}
 }
 
@@ -467,6 +473,9 @@
 	if slices.ContainsFunc(d.finals, func(x final) bool { return x.seq == seq }) {
 		return // the same frame again
 	}
+	if n := len(d.finals); n > 0 && d.number&onCircuit == 0 && int8(seq-d.finals[n-1].seq) < 0 {
+		return // sent before what came before it, lost, and sent again
+	}
 	if d.leftAt > 0 {
 		c.attemptOver(d, "") // it crossed the opener's HANGUP
 		return
@@ -476,7 +485,7 @@
 	}
 	d.finals = append(d.finals, final{seq, name})
 	if answer && !d.answered && len(d.finals) == 1 {
-		d.answered = true
+		d.answered, d.stoodAt = true, c.now
 		if d.opener.Kind == capture.Callers {
 			c.report.SetUps = append(c.report.SetUps, c.now-d.opened)
 			c.outcome(d, Stood)
@@ -569,7 +578,7 @@
 	}
 	m[o]++
 	if c.Keep {
-		c.report.Each = append(c.report.Each, Try{d.other.Exchange, d.call, o, c.wasDown(d)})
+		c.report.Each = append(c.report.Each, Try{d.other.Exchange, d.call, o, c.wasDown(d), d.remote != 0})
 	}
 }
 
