--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -87,8 +87,13 @@
 	Outcome Outcome
 	Down    bool // the router was killed, or did not run, in its time
 	Heard   bool // the router showed to have the call
+	at      time.Duration
 }
 
+// syncs is how long a record may be on its way to the disk: of a caller that left so shortly before its router was
+// killed there may be none.
+const syncs = 100 * time.Millisecond
+
 // Count adds an outcome over all contexts.
 func (r *Report) Count(o Outcome) (n int) {
 	for _, m := range r.Outcomes {
@@ -248,6 +253,11 @@
 			c.started[n.Router.Exchange] = c.now
 		} else {
 			c.killed[n.Router.Exchange] = c.now
+			for i := len(c.report.Each) - 1; i >= 0 && c.report.Each[i].at > c.now-syncs; i-- {
+				if t := &c.report.Each[i]; t.Router == n.Router.Exchange && t.Outcome == Left {
+					t.Down = true
+				}
+			}
 		}
 	}
 }
@@ -580,7 +590,7 @@
 	}
 	m[o]++
 	if c.Keep {
-		c.report.Each = append(c.report.Each, Try{d.other.Exchange, d.call, o, c.wasDown(d), d.remote != 0})
+		c.report.Each = append(c.report.Each, Try{d.other.Exchange, d.call, o, c.wasDown(d), d.remote != 0, c.now})
 	}
 }
 
