New kinds of trouble on the virtual clock; the register's client; a NEW with its token is no new call

Reordering, stalls, silent cuts, full and slow disks and clocks set on the virtual clock; register_gone on both grounds; the register's client decides by registry.Poller, in service and in virtual time. The network records what routers send at the moment of sending.

--- a/internal/iax2/endpoint.go
+++ b/internal/iax2/endpoint.go
@@ -95,6 +95,9 @@
 		ep.Stats.UnknownElems += uint64(len(ep.elems.Unknown))
 	}
 	d := ep.find(from, f)
+	if d != nil && f.Dest == 0 && f.Is(New) && ep.sameWithToken(d) {
+		d.opening = ep.fingerprint(b)
+	}
 	if d != nil && f.Dest == 0 && (f.Is(New) || f.Is(RegReq)) && d.opening != ep.fingerprint(b) {
 		// The peer started anew and used the number again: what stood under it is gone.
 		d.lose(now, Restarted)
@@ -111,6 +114,14 @@
 	}
 }
 
+// sameWithToken tells whether a NEW is that of a dialog once more, with the call token that was asked for before the
+// peer came to be trusted: a copy of the first NEW has opened the dialog meanwhile.
+func (ep *Endpoint) sameWithToken(d *Dialog) bool {
+	e := &ep.elems
+	return d.incoming && d.state == offered && len(e.Bytes(CallTokenIE)) > 0 && ep.cfg.Trusted(d.peer) &&
+		e.Text(CalledNumber) == d.request.Called && e.Text(CallingNumber) == d.request.Calling
+}
+
 // fingerprint tells a repeated opening frame from another one: all but the R bit and the sequence numbers.
 func (ep *Endpoint) fingerprint(b []byte) uint64 {
 	var h maphash.Hash
--- a/internal/lab/day.go
+++ b/internal/lab/day.go
@@ -97,7 +97,7 @@
 		return nil, err
 	}
 	res.take(report)
-	res.Records.match(report.Each, res.kept)
+	res.Records.match(report.Each, res.kept, nil)
 	res.WallSeconds = time.Since(began).Seconds()
 	return res, nil
 }
--- a/internal/lab/draw.go
+++ b/internal/lab/draw.go
@@ -20,6 +20,7 @@
 	between := func(lo, hi float64) float64 { return lo + (hi-lo)*rng.Float64() }
 	span := func(lo, hi time.Duration) time.Duration { return lo + time.Duration(rng.Int64N(int64(hi-lo)+1)) }
 	s := defaultScript()
+	s.Virtual = true
 	s.Name, s.Seed = fmt.Sprintf("seed %d", seed), seed
 	s.Length = o.Length
 	if s.Length == 0 {
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -42,6 +42,7 @@
 type register interface {
 	Publish(routers int, lines []standin.Line)
 	Lag(router int, d time.Duration)
+	Gone(on bool)
 	Close()
 }
 
--- a/internal/lab/kill.go
+++ b/internal/lab/kill.go
@@ -104,7 +104,7 @@
 	if err != nil {
 		return err
 	}
-	d.match(rep.Each, keptRecords{0: have})
+	d.match(rep.Each, keptRecords{0: have}, nil)
 	r.Records, r.Recovered, r.Missing, r.Doubled, r.Wrong = d.Records, d.Recovered, d.Missing, d.Doubled, d.Wrong
 	r.Found = append(r.Found, d.Found...)
 	return nil
--- a/internal/lab/records.go
+++ b/internal/lab/records.go
@@ -73,7 +73,8 @@
 	Looked    int      `json:"tries_looked_for"`
 	Missing   int      `json:"missing"`
 	Doubled   int      `json:"doubled"`
-	Wrong     int      `json:"wrong"` // another end than the capture shows
+	AtRisk    int      `json:"at_risk"` // missing at a router that was killed and had answered before records were durable
+	Wrong     int      `json:"wrong"`   // another end than the capture shows
 	Found     []string `json:"found,omitempty"`
 }
 
@@ -144,7 +145,9 @@
 
 // match looks for the record of every try that the capture shows. A try whose router was killed before its final answer
 // may have none: its caller is to try again.
-func (d *DayRecords) match(tries []rules.Try, have keptRecords) {
+//
+// unproven are the routers that let answers go before their records were durable, as they do when a disk is full or slow.
+func (d *DayRecords) match(tries []rules.Try, have keptRecords, unproven map[int]bool) {
 	for _, t := range tries {
 		got := have[t.Router][t.Call]
 		answered := t.Outcome == rules.Stood || t.Outcome == rules.Refused || t.Outcome == rules.Failed
@@ -154,6 +157,8 @@
 		case twice(got):
 			d.Doubled++
 			d.find("%s: %d records", what, len(got))
+		case len(got) == 0 && unproven[t.Router]:
+			d.AtRisk++
 		case len(got) == 0 && !t.Heard && !answered: // it may never have come, or been asked for its token first
 		case len(got) == 0 && (answered && !(t.Down && t.Outcome == rules.Failed) || !t.Down):
 			d.Missing++
--- a/internal/lab/trouble.go
+++ b/internal/lab/trouble.go
@@ -113,6 +113,14 @@
 			}
 			return nil
 		})
+	case "register_gone":
+		return both(func(on bool) error { f.register.Gone(on); return nil })
+	case "reorder", "stall", "half_cut", "disk_full", "disk_slow", "clock_set":
+		v, ok := f.ground.(*virtual)
+		if !ok {
+			panic("lab: a trouble of the virtual clock on sockets: the script's check lets none through")
+		}
+		return both(func(on bool) error { v.strike(t, at, on); return nil })
 	case "cold_site":
 		return both(func(on bool) error {
 			if on {
--- a/internal/registry/register.go
+++ b/internal/registry/register.go
@@ -43,31 +43,53 @@
 		defer t.CloseIdleConnections()
 		client = &http.Client{Transport: t, Timeout: r.Wait + r.Wait/4 + 5*time.Second}
 	}
-	index, pause := uint64(0), firstPause
+	var p Poller
 	for ctx.Err() == nil {
-		l, err := r.ask(ctx, client, index)
+		l, err := r.ask(ctx, client, p.Index())
+		if err != nil && ctx.Err() != nil {
+			return
+		}
+		tell, wait := p.Answer(l, err, rand.N[time.Duration])
 		if err != nil {
-			if ctx.Err() != nil {
-				return
-			}
 			fault(err)
-			sleep(ctx, pause/2+rand.N(pause))
-			pause = min(2*pause, longestWait)
-			continue
 		}
-		pause = firstPause
-		switch {
-		case l.Index == index:
-			continue // the query's wait ran out
-		case l.Index < index:
-			index = 0 // the register started anew: its list counts, and the next query must not block on the old
-		default:
-			index = l.Index
+		if tell {
+			told(l)
+		}
+		if wait > 0 {
+			sleep(ctx, wait)
 		}
-		told(l)
 	}
 }
 
+// Poller decides what a register is asked next and what of its answers is news. The zero value has heard nothing.
+type Poller struct {
+	index uint64
+	pause time.Duration
+}
+
+// Index is what the next query blocks on; 0 is none.
+func (p *Poller) Index() uint64 { return p.index }
+
+// Answer takes the answer to a query, or its failure. It tells whether the list is news, and how long to wait before the
+// next query; random draws a time below another.
+func (p *Poller) Answer(l List, err error, random func(time.Duration) time.Duration) (tell bool, wait time.Duration) {
+	if err != nil {
+		p.pause = min(max(2*p.pause, firstPause), longestWait)
+		return false, p.pause/2 + random(p.pause)
+	}
+	p.pause = 0
+	switch {
+	case l.Index == p.index:
+		return false, 0 // the query's wait ran out
+	case l.Index < p.index:
+		p.index = 0 // the register started anew: its list counts, and the next query must not block on the old
+	default:
+		p.index = l.Index
+	}
+	return true, 0
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/internal/rules/isup.go
+++ b/internal/rules/isup.go
@@ -57,9 +57,12 @@
 			received.over = true
 		}
 	case isup.RLC:
-		if d := c.dialogs[key{to, from, number}]; d != nil {
+		if d := c.dialogs[key{to, from, number}]; d != nil && (!c.Exact || d.heard) {
 			c.learnt(d)
 		}
+		if d := c.circuit(from, to, number); d != nil && !d.heard {
+			c.attemptOver(d, "") // a REL of the circuit's last call has crossed its IAM, and is taken for its refusal
+		}
 	case isup.GRA:
 		c.resetConfirmed(from, to, &msg)
 	case isup.RSC, isup.GRS, isup.UCIC:
@@ -100,7 +103,9 @@
 		loser = theirs
 	}
 	c.attemptOver(loser, "overridden by the far end's call")
-	c.callEnded(loser)
+	if !c.Exact || loser.heard {
+		c.callEnded(loser)
+	}
 	loser.over = true
 }
 
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -143,6 +143,7 @@
 	answered bool
 	heard    bool          // on a circuit: the opened end has shown to have the set-up
 	stoodAt  time.Duration // when it was answered
+	shared   bool          // as an attempt: sent while the call was there twice
 	over     bool          // as an attempt
 	ended    bool          // at the router that took it
 	judged   bool
@@ -394,10 +395,12 @@
 	case a.in > 1:
 		// The call has come twice, by an attempt that its sender has given up and by a new one, and the set-ups
 		// beyond cannot be told apart: each belongs to one of them.
+		d.shared = true
 	case a.closedAt > 0 && c.now > a.closedAt+c.slack(sendSlack):
 		c.broken(OneAnswer, d.opener, d.call, "set-up to %v %.3f s after the call's end", d.other, (c.now - a.closedAt).Seconds())
 	case a.out != nil && a.out.answered && a.in > 0:
 		// The one that stands belongs to an attempt that was answered; this one to the other that came.
+		d.shared = true
 	case a.out != nil && !a.out.over && a.out.opened >= a.lastIn:
 		c.broken(OneAttempt, d.opener, d.call, "set-up to %v while the one to %v of %.3f s before is out", d.other, a.out.other,
 			(c.now - a.out.opened).Seconds())
@@ -419,7 +422,7 @@
 	}
 	if a := c.calls[routerCall{d.opener.Exchange, d.call}]; a != nil && a.out == d {
 		a.out = nil
-		if why != "" && !d.answered && d.opened >= a.lastIn {
+		if why != "" && !d.answered && !d.shared && d.opened >= a.lastIn {
 			a.quiet, a.why = c.now+c.figures.ReleaseWait, why
 		}
 	}
--- a/internal/standin/net.go
+++ b/internal/standin/net.go
@@ -13,6 +13,7 @@
 type Net interface {
 	Now() time.Duration // monotonic
 	Wall() time.Time
+	Taps() bool // the network records what routers send; else hosts record it as it comes
 	// Open takes an address; r gets what comes to it and is told when it is due.
 	Open(at netip.AddrPort, r Hearer) (Port, error)
 }
@@ -45,6 +46,9 @@
 // Wall is the time of day.
 func (s *Sockets) Wall() time.Time { return time.Now() }
 
+// Taps tells that sockets record nothing by themselves.
+func (s *Sockets) Taps() bool { return false }
+
 // Open opens a UDP socket.
 func (s *Sockets) Open(at netip.AddrPort, r Hearer) (Port, error) {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at))
--- a/internal/standin/register.go
+++ b/internal/standin/register.go
@@ -36,6 +36,7 @@
 	mu      sync.Mutex
 	index   uint64
 	views   map[int]*view
+	gone    bool
 	stopped chan struct{}
 }
 
@@ -90,6 +91,17 @@
 	r.mu.Unlock()
 }
 
+// Gone makes the register answer nothing but errors, queries that wait included, or serve again.
+func (r *Register) Gone(on bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.gone = on
+	for _, v := range r.views {
+		close(v.changed)
+		v.changed = make(chan struct{})
+	}
+}
+
 // Publish makes a list known, to each router after its lag.
 func (r *Register) Publish(routers int, lines []Line) {
 	r.mu.Lock()
@@ -181,8 +193,11 @@
 	for {
 		r.mu.Lock()
 		v := r.view(router)
-		index, lines, changed := v.index, v.lines, v.changed
+		index, lines, changed, gone := v.index, v.lines, v.changed, r.gone
 		r.mu.Unlock()
+		if gone {
+			return 0, nil, false
+		}
 		if index > after {
 			return index, lines, true
 		}
--- a/internal/vnet/router.go
+++ b/internal/vnet/router.go
@@ -31,6 +31,7 @@
 // Router is a whole router on the virtual network: the node of the service on a clock, a socket, connections and a disk
 // of this world.
 type Router struct {
+	offset time.Duration // its clock on the wall is off by this
 	w      *World
 	x      int
 	set    *config.Settings
@@ -97,7 +98,7 @@
 	if r.ledger, err = cdr.OpenLedger(r.disk, uint32(r.x), rater); err != nil {
 		return err
 	}
-	if err = r.disk.Now(func(b cdr.Batch) error { r.ledger.Begin(b, r.w.Wall()); return nil }); err != nil {
+	if err = r.disk.Now(func(b cdr.Batch) error { r.ledger.Begin(b, r.wall()); return nil }); err != nil {
 		return err
 	}
 	for n := 1; n > 0 && err == nil; {
@@ -118,7 +119,7 @@
 	if r.dead {
 		return
 	}
-	r.disk.Commit(func(b cdr.Batch) { r.ledger.Alive(b, r.w.Wall()) }, func() {})
+	r.disk.Commit(func(b cdr.Batch) { r.ledger.Alive(b, r.wall()) }, func() {})
 	r.w.After(time.Second, r.alive)
 }
 
@@ -128,6 +129,15 @@
 	return d + time.Duration(r.drift*float64(d))
 }
 
+// wall is the router's clock on the wall.
+func (r *Router) wall() time.Time { return r.w.Wall().Add(r.offset) }
+
+// SetClock sets the router's clock on the wall forward, or back.
+func (r *Router) SetClock(by time.Duration) {
+	r.offset += by
+	r.due()
+}
+
 // at is when the router's clock shows a time.
 func (r *Router) at(t time.Duration) time.Duration {
 	d := time.Duration(float64(t) / (1 + r.drift))
@@ -146,7 +156,7 @@
 		return
 	}
 	now := r.now()
-	r.clock.Look(now, r.w.Wall())
+	r.clock.Look(now, r.wall())
 	r.node.Receive(now, from, b)
 	r.settle(now)
 }
@@ -159,7 +169,7 @@
 		return
 	}
 	now := r.now()
-	r.clock.Look(now, r.w.Wall())
+	r.clock.Look(now, r.wall())
 	r.settle(now)
 }
 
@@ -245,7 +255,7 @@
 	}
 	r.Mutate.list(&l)
 	now := r.now()
-	r.node.SetList(now, r.w.Wall(), l)
+	r.node.SetList(now, r.wall(), l)
 	r.settle(now)
 }
 
--- a/internal/vnet/stream.go
+++ b/internal/vnet/stream.go
@@ -86,10 +86,8 @@
 // send brings one piece over, after those before it.
 func (e *End) send(piece []byte) {
 	l := e.s.link
-	if l.f.HalfCut {
-		return
-	}
-	if l.f.Stall || len(e.waiting) > 0 {
+	if l.f.Stall || l.f.HalfCut || // TCP goes on trying: what it carries comes late, and whole
+		len(e.waiting) > 0 {
 		e.waiting = append(e.waiting, piece)
 		return
 	}
