--- a/internal/lab/calls.go
+++ b/internal/lab/calls.go
@@ -265,12 +265,16 @@
 // callsSettings are those of router 0 or 1 that is measured, with one group to the other exchange; group adds to its
 // table, tables follow.
 func callsSettings(x int, group, tables string) (*config.Settings, error) {
-	return config.Parse("calls.toml", fmt.Appendf(nil, `
+	return config.Parse("calls.toml", callsText(x, "listen = \"127.0.0.1:0\"\nmax_calls = 0\nseed = 1", group,
+		"register = \"http://127.0.0.1:9\"", tables))
+}
+
+// callsText writes such settings; router and list add to their tables.
+func callsText(x int, router, group, list, tables string) []byte {
+	return fmt.Appendf(nil, `
 [router]
 exchange = %d
-listen = "127.0.0.1:0"
-max_calls = 0
-seed = 1
+%s
 [[class]]
 name = %q
 hold = %q
@@ -287,13 +291,13 @@
 to = %d
 %s
 [list]
-register = "http://127.0.0.1:9"
+%s
 [iax]
 call_tokens = false
 max_per_host = 0
 linger = "500ms"
 %s
-`, x, callsClass, callsHold, callsAim, callsPatience, callsPatience, 1-x, group, tables))
+`, x, router, callsClass, callsHold, callsAim, callsPatience, callsPatience, 1-x, group, list, tables)
 }
 
 func callsList(sw netip.AddrPort) registry.List {
--- a/internal/lab/day.go
+++ b/internal/lab/day.go
@@ -161,6 +161,15 @@
 	if res.LeftOver, err = f.settle(15 * time.Second); err != nil {
 		return err
 	}
+	if err := f.tally(res); err != nil {
+		return err
+	}
+	res.kept, err = f.ground.readRecords(&res.Records)
+	return err
+}
+
+// tally adds up what routers and switches counted, and ends the routers.
+func (f *fleet) tally(res *DayResult) error {
 	for _, r := range f.routers {
 		if r == nil {
 			continue
@@ -175,11 +184,7 @@
 	for _, sw := range f.switches {
 		res.SwitchFell += sw.Count().Fell
 	}
-	if err := f.stopRouters(); err != nil {
-		return err
-	}
-	res.kept, err = f.ground.readRecords(&res.Records)
-	return err
+	return f.stopRouters()
 }
 
 func sleepUntil(ctx context.Context, at time.Time) bool {
--- a/internal/lab/kill.go
+++ b/internal/lab/kill.go
@@ -185,41 +185,9 @@
 	files := map[string]string{
 		"tariffs.toml": dayTariffs,
 		"list.toml":    fmt.Sprintf("[[exchange]]\nid = \"far\"\nnumber = 1\naddress = %q\n", sw),
-		"router.toml": fmt.Sprintf(`
-[router]
-exchange = 0
-listen = %q
-answer_margin = "120ms"
-[[class]]
-name = %q
-hold = %q
-aim = %q
-patience = %q
-deadline = %q
-worth = 1
-[[exchange]]
-number = 0
-[[exchange]]
-number = 1
-prefixes = ["1"]
-[[group]]
-to = 1
-circuits = 5000
-[list]
-file = %q
-[iax]
-call_tokens = false
-max_per_host = 0
-linger = "500ms"
-[http]
-listen = %q
-[records]
-dir = %q
-tariffs = "tariffs.toml"
-answer_wait = "100ms"
-[log]
-level = "error"
-`, at, callsClass, callsHold, callsAim, callsPatience, callsPatience, filepath.Join(dir, "list.toml"), web, filepath.Join(dir, "records")),
+		"router.toml": string(callsText(0, fmt.Sprintf("listen = %q\nanswer_margin = \"120ms\"", at), "circuits = 5000",
+			fmt.Sprintf("file = %q", filepath.Join(dir, "list.toml")), fmt.Sprintf("[http]\nlisten = %q\n[records]\ndir = %q\n"+
+				"tariffs = \"tariffs.toml\"\nanswer_wait = \"100ms\"\n[log]\nlevel = \"error\"\n", web, filepath.Join(dir, "records")))),
 	}
 	for name, text := range files {
 		if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600); err != nil {
--- a/internal/lab/virtual.go
+++ b/internal/lab/virtual.go
@@ -14,7 +14,6 @@
 	"pipitring/decide"
 	"pipitring/internal/capture"
 	"pipitring/internal/config"
-	"pipitring/internal/node"
 	"pipitring/internal/registry"
 	"pipitring/internal/rules"
 	"pipitring/internal/standin"
@@ -412,21 +411,7 @@
 	if err := g.settle(c, res); err != nil {
 		return err
 	}
-	for _, r := range f.routers {
-		if r == nil {
-			continue
-		}
-		if err := r.Do(func(n *node.Node, _ time.Duration) {
-			res.Overdue += n.Core.Stats.Overdue
-			res.Faults += n.Core.Stats.Faults
-		}); err != nil {
-			return err
-		}
-	}
-	for _, sw := range f.switches {
-		res.SwitchFell += sw.Count().Fell
-	}
-	if err := f.stopRouters(); err != nil {
+	if err := f.tally(&res.DayResult); err != nil {
 		return err
 	}
 	g.w.Run(g.w.Now() + time.Second) // disks write what they have
