Reread: the gate of new calls serves both fronts; one atomic write, one range of numbers; dead code out

Change: the router was told whether new calls are taken only when datagrams came, so calls by ISUP alone never were refused while the disk was full; now the watch tells the loop when it changes. The watch and health asked for the store's size, which walks the database's metrics, 20 times a second; they ask the writer alone. Released and Lost are one path; the export directory writes files as the store does; the range of record numbers is read in one place in place of three. Out: store.Copy, DeleteRange, ErrStop, plots.Lines, counters and fields that nothing read.

--- a/internal/call/flow.go
+++ b/internal/call/flow.go
@@ -189,46 +189,37 @@
 // Released tells that the far end of a leg ended it: the caller hung up, or the exchange refused or released
 // the call.
 func (c *Core) Released(now time.Duration, id Leg, cause Cause) {
-	l := c.legs[id]
-	if l == nil || l.call == nil {
-		return
-	}
-	k := l.call
-	switch {
-	case k.stood:
-		c.standingOver(now, k, l, cause, false)
-	case l.incoming:
-		c.callerLeft(now, k, cause)
-	case k.proving:
-		k.farEnd = &farEnd{cause: cause}
-	default:
+	c.legEnded(now, id, farEnd{cause: cause}, func(l *leg) {
 		o, why := outcome(cause, l.tandem)
 		c.attemptOver(now, l, o, why, cause, 0)
-	}
-	c.run(now)
+	})
 }
 
 // Lost tells that the far end of a leg is gone or knows nothing of it. reset is the latter; without it the
 // set-up went unanswered.
 func (c *Core) Lost(now time.Duration, id Leg, reset bool) {
+	o := decide.TimedOut
+	if reset {
+		o = decide.Cut
+	}
+	c.legEnded(now, id, farEnd{OutOfOrder, true}, func(l *leg) { c.attemptOver(now, l, o, decide.CauseUnknown, 0, 0) })
+}
+
+// legEnded ends what a leg belongs to; attempt ends a set-up that was not answered.
+func (c *Core) legEnded(now time.Duration, id Leg, e farEnd, attempt func(*leg)) {
 	l := c.legs[id]
 	if l == nil || l.call == nil {
 		return
 	}
-	k := l.call
-	switch {
+	switch k := l.call; {
 	case k.stood:
-		c.standingOver(now, k, l, OutOfOrder, true)
+		c.standingOver(now, k, l, e.cause, e.lost)
 	case l.incoming:
-		c.callerLeft(now, k, OutOfOrder)
-	case k.proving:
-		if k.farEnd == nil {
-			k.farEnd = &farEnd{OutOfOrder, true}
-		}
-	case reset:
-		c.attemptOver(now, l, decide.Cut, decide.CauseUnknown, 0, 0)
-	default:
-		c.attemptOver(now, l, decide.TimedOut, decide.CauseUnknown, 0, 0)
+		c.callerLeft(now, k, e.cause)
+	case !k.proving:
+		attempt(l)
+	case k.farEnd == nil: // told once its answer has gone out; the first word counts
+		k.farEnd = &e
 	}
 	c.run(now)
 }
--- a/internal/cdr/export.go
+++ b/internal/cdr/export.go
@@ -122,12 +122,9 @@
 	put(0, e.state)
 }
 
-// Done is the last number that the target has confirmed, Planned the last in any batch, Batches their count.
+// Done is the last number that the target has confirmed.
 func (e *Export) Done() uint64 { return e.state.Done }
 
-// Planned is the last number in any batch.
-func (e *Export) Planned() uint64 { return e.state.To }
-
 // Batches is how many batches were made.
 func (e *Export) Batches() uint64 { return e.state.Batches }
 
--- a/internal/cdr/ledger.go
+++ b/internal/cdr/ledger.go
@@ -64,7 +64,6 @@
 	rater  Rater
 	buf    []byte
 	resume []byte // where Recover goes on: what lies before is closed, and would be walked through again
-	Closed int    // calls closed by recovery
 }
 
 // ErrNumbers says that the store's numbers contradict each other.
@@ -73,18 +72,10 @@
 // OpenLedger reads how far earlier lives came. Begin has to be committed before anything else is.
 func OpenLedger(k Keeper, router uint32, rater Rater) (*Ledger, error) {
 	l := &Ledger{keep: k, router: router, rater: rater}
-	key, _, found, err := k.Last([]byte{prefixNumber})
-	if err != nil {
-		return nil, err
-	}
-	if found {
-		l.last = binary.BigEndian.Uint64(key[1:])
-	}
-	trimmed, err := Trimmed(k)
-	if err != nil {
+	var err error
+	if _, l.last, err = numbers(k); err != nil {
 		return nil, err
 	}
-	l.last = max(l.last, trimmed)
 	key, value, found, err := k.Last([]byte{prefixLife})
 	if err != nil {
 		return nil, err
@@ -99,6 +90,21 @@
 	return l, nil
 }
 
+// numbers are the first and the last number that the store should hold a record under; the first is above the last
+// where it holds none.
+func numbers(k Keeper) (first, last uint64, err error) {
+	trimmed, err := Trimmed(k)
+	if err != nil {
+		return 0, 0, err
+	}
+	key, _, found, err := k.Last([]byte{prefixNumber})
+	last = trimmed
+	if err == nil && found {
+		last = max(last, binary.BigEndian.Uint64(key[1:]))
+	}
+	return trimmed + 1, last, err
+}
+
 // Begin starts a new life.
 func (l *Ledger) Begin(b Batch, wall time.Time) {
 	l.life++
@@ -198,7 +204,6 @@
 		}
 		l.closeKilled(r, at)
 		l.put(b, r)
-		l.Closed++
 		return nil
 	})
 	if errors.Is(err, errStop) {
--- a/internal/cdr/report.go
+++ b/internal/cdr/report.go
@@ -32,16 +32,11 @@
 // Each calls f for all records that fit, in the order of their numbers; records that cannot be read are told to
 // damaged.
 func (f *Filter) Each(k Keeper, damaged func(n uint64, err error), do func(n uint64, r *Record) error) error {
-	trimmed, err := Trimmed(k)
+	first, last, err := numbers(k)
 	if err != nil {
 		return err
 	}
-	key, _, found, err := k.Last([]byte{prefixNumber})
-	if err != nil || !found {
-		return err
-	}
-	last, _ := numberOf(key)
-	for n := trimmed + 1; n <= last; n++ {
+	for n := first; n <= last; n++ {
 		r, found, err := Read(k, n)
 		if err != nil || !found {
 			if err == nil {
@@ -65,17 +60,6 @@
 	return nil
 }
 
-func numberOf(key []byte) (uint64, bool) {
-	if len(key) != 9 || key[0] != prefixNumber {
-		return 0, false
-	}
-	var n uint64
-	for _, b := range key[1:] {
-		n = n<<8 | uint64(b)
-	}
-	return n, true
-}
-
 // Line is one line of a report.
 type Line struct {
 	Day      string         `json:"day"`
--- a/internal/cdr/verify.go
+++ b/internal/cdr/verify.go
@@ -40,22 +40,13 @@
 // calls without a record.
 func Verify(k Keeper) (*Audit, error) {
 	a := &Audit{}
-	trimmed, err := Trimmed(k)
-	if err != nil {
+	var err error
+	if a.First, a.Last, err = numbers(k); err != nil {
 		return nil, err
 	}
-	a.First = trimmed + 1
-	last := trimmed
-	key, _, found, err := k.Last([]byte{prefixNumber})
-	if err != nil {
-		return nil, err
-	}
-	if found {
-		last = max(last, binary.BigEndian.Uint64(key[1:]))
-	}
 	seen := map[string]uint64{}
 	// One by one, not by a scan: a block that cannot be read must not hide what lies behind it.
-	for n := a.First; n <= last; n++ {
+	for n := a.First; n <= a.Last; n++ {
 		r, found, err := Read(k, n)
 		switch {
 		case err != nil:
@@ -75,7 +66,6 @@
 		}
 		a.index(k, seen, r, n)
 	}
-	a.Last = last
 	err = k.Scan([]byte{prefixMark}, nil, func(key, _ []byte) error {
 		a.Open++
 		if len(key) != 1+idSize {
--- a/internal/export/export.go
+++ b/internal/export/export.go
@@ -62,29 +62,10 @@
 
 // Send writes the file and its manifest.
 func (d *Directory) Send(_ context.Context, s *cdr.Sending, content []byte) error {
-	if err := d.write(s.File, content); err != nil {
+	if err := store.WriteWhole(d.fs, d.fs.PathJoin(d.dir, s.File), content); err != nil {
 		return err
 	}
-	return d.write(cdr.ManifestName(s.Router, s.Batch), s.Manifest.Encode())
-}
-
-// write lets a file appear whole: under another name, synced, then renamed, and the directory synced.
-func (d *Directory) write(name string, content []byte) (err error) {
-	part := d.fs.PathJoin(d.dir, "."+name+".part")
-	f, err := d.fs.Create(part, vfs.WriteCategoryUnspecified)
-	if err != nil {
-		return err
-	}
-	if _, err = f.Write(append([]byte(nil), content...)); err == nil { // Write may change what it is given
-		err = f.Sync()
-	}
-	if err = errors.Join(err, f.Close()); err != nil {
-		return err
-	}
-	if err = d.fs.Rename(part, d.fs.PathJoin(d.dir, name)); err != nil {
-		return err
-	}
-	return store.SyncDir(d.fs, d.dir)
+	return store.WriteWhole(d.fs, d.fs.PathJoin(d.dir, cdr.ManifestName(s.Router, s.Batch)), s.Manifest.Encode())
 }
 
 // Files reads a directory's files.
--- a/internal/lab/seeds.go
+++ b/internal/lab/seeds.go
@@ -62,7 +62,6 @@
 	Events []string `json:"events,omitempty"` // the last of the call concerned
 	Replay string   `json:"replay"`
 	Script string   `json:"script,omitempty"` // cut down
-	broken []rules.Broken
 }
 
 // MutantFound tells after how many seeds a planted bug was found.
--- a/internal/lab/virtual.go
+++ b/internal/lab/virtual.go
@@ -39,7 +39,6 @@
 	Trace   uint64        `json:"trace"` // hash of all that was delivered
 	Steps   uint64        `json:"steps"`
 	Virtual time.Duration `json:"virtual_ns"`
-	tries   []rules.Try
 
 	firstCall string // that a rule was broken for
 }
@@ -366,7 +365,6 @@
 	}
 	report := c.Report()
 	res.take(report)
-	res.tries = report.Each
 	if len(report.Broken) > 0 {
 		res.firstCall = report.Broken[0].Call
 	}
--- a/internal/plots/plots.go
+++ b/internal/plots/plots.go
@@ -12,10 +12,9 @@
 	"gonum.org/v1/plot/vg"
 )
 
-// Series is one line or one set of bars.
+// Series is one set of bars.
 type Series struct {
 	Name string
-	X    []float64 // of lines; bars stand at 0, 1, 2 …
 	Y    []float64
 }
 
@@ -58,25 +57,3 @@
 	p.NominalX(labels...)
 	return save(p, file)
 }
-
-// Lines draws lines over a common axis.
-func Lines(file, title, x, y string, series []Series) error {
-	p := plot.New()
-	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, x, y
-	p.Add(plotter.NewGrid())
-	for i, s := range series {
-		pts := make(plotter.XYs, min(len(s.X), len(s.Y)))
-		for j := range pts {
-			pts[j].X, pts[j].Y = s.X[j], s.Y[j]
-		}
-		l, err := plotter.NewLine(pts)
-		if err != nil {
-			return fmt.Errorf("%s: %w", s.Name, err)
-		}
-		l.Color, l.Width = colors[i%len(colors)], vg.Points(1.5)
-		p.Add(l)
-		p.Legend.Add(s.Name, l)
-	}
-	p.Legend.Top = true
-	return save(p, file)
-}
--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -241,7 +241,7 @@
 
 // Status looks at the records.
 func (r *Recorder) Status() Status {
-	s := Status{Status: r.writer.Status(), Last: r.last.Load(), Life: r.ledger.Life(), Closed: r.closed, Recovery: r.took}
+	s := Status{Status: r.Disk(), Last: r.last.Load(), Life: r.ledger.Life(), Closed: r.closed, Recovery: r.took}
 	if s.State != store.Failed {
 		s.Bytes = r.store.Size()
 	}
@@ -251,6 +251,9 @@
 	return s
 }
 
+// Disk is how the records' disk does: as Status, without its size, which costs more to tell.
+func (r *Recorder) Disk() store.Status { return r.writer.Status() }
+
 // Store reads what is kept.
 func (r *Recorder) Store() *store.Store { return r.store }
 
--- a/internal/runtime/metrics.go
+++ b/internal/runtime/metrics.go
@@ -222,7 +222,7 @@
 	h := health{Draining: s.draining.Load()}
 	err := s.Do(func(n *node.Node, now time.Duration) { h.Calls, h.ListAge = n.Core.Open(), s.listAge(now) })
 	if s.keep != nil {
-		st := s.keep.rec.Status()
+		st := s.keep.rec.Disk()
 		h.Records, h.AtRisk = st.State.String(), st.Waiting
 	}
 	switch {
--- a/internal/runtime/records.go
+++ b/internal/runtime/records.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -16,6 +15,7 @@
 	"pipitring/internal/call"
 	"pipitring/internal/cdr"
 	"pipitring/internal/config"
+	"pipitring/internal/node"
 	"pipitring/internal/records"
 )
 
@@ -23,10 +23,9 @@
 type keeping struct {
 	s      *Server
 	rec    *records.Recorder
-	clock  cdr.Clock   // on the loop
-	shut   atomic.Bool // no new calls: the disk's state asks for it
-	items  []cdr.Item  // on the loop, reused
-	proven uint64      // Core.Stats.Unproven as it was told last
+	clock  cdr.Clock  // on the loop
+	items  []cdr.Item // on the loop, reused
+	proven uint64     // Core.Stats.Unproven as it was told last
 
 	mu      sync.Mutex
 	tickets []submitted // not durable yet, oldest first
@@ -97,19 +96,22 @@
 	return false
 }
 
-// watch looks at the disk's state until ctx ends; the loop only reads what it finds.
+// watch looks at the disk's state until ctx ends, and tells the loop when new calls are to be refused or taken again.
 func (k *keeping) watch(ctx context.Context) {
 	t := time.NewTicker(look)
 	defer t.Stop()
-	state := k.rec.Status().State
+	state, open := k.rec.Disk().State, true
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
 		}
-		st := k.rec.Status()
-		k.shut.Store(!st.Open)
+		st := k.rec.Disk()
+		// An error says that the loop has ended, or is behind: then the next look tells it.
+		if st.Open != open && k.s.Do(func(n *node.Node, _ time.Duration) { n.Core.Shut(!st.Open) }) == nil {
+			open = st.Open
+		}
 		if st.State != state {
 			k.s.log.Warn("records: the disk's state has changed", zap.Stringer("from", state), zap.Stringer("to", st.State),
 				zap.Bool("new_calls", st.Open), zap.Int("at_risk", st.Waiting), zap.Uint64("lost", st.Lost))
--- a/internal/runtime/server.go
+++ b/internal/runtime/server.go
@@ -213,7 +213,6 @@
 		return s.onStream(c, st)
 	}
 	now := s.now()
-	s.gate(now)
 	if from, ok := c.RemoteAddr().(*net.UDPAddr); ok {
 		if a, ok := iax2.AddrFrom(from.AddrPort()); ok {
 			b, _ := c.Next(-1)
@@ -232,14 +231,6 @@
 	return gnet.None
 }
 
-// gate lets new calls in or not, as the records' disk allows, and notes what the clock on the wall shows.
-func (s *Server) gate(now time.Duration) {
-	if s.keep != nil {
-		s.node.Core.Shut(s.keep.shut.Load())
-		s.keep.clock.Look(now, time.Now())
-	}
-}
-
 // fire is the timer's end; it runs beside the loop.
 func (s *Server) fire() {
 	// The error says that the loop has ended: then there is nothing to do.
--- a/internal/store/gate.go
+++ b/internal/store/gate.go
@@ -42,7 +42,6 @@
 	since    time.Duration // of the present state
 	state    State
 	Lost     uint64 // items given up because too much waited
-	Changes  uint64
 	OverTime uint64 // items that had to be taken for granted before they were durable
 }
 
@@ -74,7 +73,6 @@
 	}
 	if s != g.state {
 		g.state, g.since = s, now
-		g.Changes++
 	}
 }
 
--- a/internal/store/holdfs.go
+++ b/internal/store/holdfs.go
@@ -21,7 +21,6 @@
 	vfs.FS
 	again time.Duration   // between tries
 	told  func(full bool) // when the disk fills up and when a write goes through again
-	pause func(time.Duration)
 
 	mu   sync.Mutex
 	full int // writes that wait
@@ -29,7 +28,7 @@
 }
 
 func newHoldFS(fs vfs.FS, again time.Duration, told func(bool)) *holdFS {
-	return &holdFS{FS: fs, again: again, told: told, pause: time.Sleep}
+	return &holdFS{FS: fs, again: again, told: told}
 }
 
 // close lets go what waits.
@@ -59,7 +58,7 @@
 		if stop {
 			return ErrClosing
 		}
-		h.pause(h.again)
+		time.Sleep(h.again)
 		if err = f(); err == nil || !noRoom(err) {
 			return err
 		}
--- a/internal/store/salvage.go
+++ b/internal/store/salvage.go
@@ -114,14 +114,15 @@
 	return io.ReadAll(f)
 }
 
-// writeWhole lets a file appear whole, in place of what had its name.
-func writeWhole(fs vfs.FS, name string, content []byte) error {
-	part := name + ".part"
+// WriteWhole lets a file appear whole, in place of what had its name: under another one first, synced, then renamed, and
+// the directory synced.
+func WriteWhole(fs vfs.FS, name string, content []byte) error {
+	part := fs.PathJoin(fs.PathDir(name), "."+fs.PathBase(name)+".part")
 	f, err := fs.Create(part, vfs.WriteCategoryUnspecified)
 	if err != nil {
 		return err
 	}
-	if _, err = f.Write(append([]byte(nil), content...)); err == nil {
+	if _, err = f.Write(append([]byte(nil), content...)); err == nil { // Write may change what it is given
 		err = f.Sync()
 	}
 	if cerr := f.Close(); err == nil {
@@ -169,10 +170,10 @@
 			return fmt.Errorf("%w: %s: opening it for writing puts them back", ErrDamaged, text)
 		}
 		told(text)
-		if err := writeWhole(fs, fs.PathJoin(dir, rescuePrefix+name), log); err != nil {
+		if err := WriteWhole(fs, fs.PathJoin(dir, rescuePrefix+name), log); err != nil {
 			return err
 		}
-		if err := writeWhole(fs, path, log[:bad]); err != nil {
+		if err := WriteWhole(fs, path, log[:bad]); err != nil {
 			return err
 		}
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -71,12 +71,6 @@
 // Delete takes a key out.
 func (b *Batch) Delete(key []byte) { _ = b.b.Delete(key, nil) }
 
-// DeleteRange takes all keys from one to below another out.
-func (b *Batch) DeleteRange(from, to []byte) { _ = b.b.DeleteRange(from, to, nil) }
-
-// Len is the batch's size in bytes.
-func (b *Batch) Len() int { return b.b.Len() }
-
 // errFatal carries pebble's last words: it must not return from Fatalf.
 type errFatal struct{ text string }
 
@@ -107,14 +101,14 @@
 	if o.Full == nil {
 		o.Full = func(bool) {}
 	}
+	if o.Damage == nil {
+		o.Damage = func(string) {}
+	}
 	s := &Store{opt: o, hold: newHoldFS(o.FS, o.FullWait, o.Full)}
 	_, err := o.FS.Stat(o.Dir)
 	if err != nil && o.ReadOnly {
 		return nil, fmt.Errorf("%s: %w", o.Dir, ErrMissing)
 	}
-	if o.Damage == nil {
-		o.Damage, s.opt.Damage = func(string) {}, func(string) {}
-	}
 	if err := checkLogs(o.FS, o.Dir, o.ReadOnly, o.Damage); err != nil {
 		return nil, fmt.Errorf("%s: %w", o.Dir, err)
 	}
@@ -261,9 +255,6 @@
 	return value, true, closer.Close()
 }
 
-// ErrStop ends a Scan early, without an error.
-var ErrStop = errors.New("store: stop")
-
 // Scan calls f for all keys with a prefix from a key on, in order; key and value are f's only during the call.
 func (s *Store) Scan(prefix, from []byte, f func(key, value []byte) error) error {
 	if len(from) == 0 {
@@ -280,9 +271,6 @@
 		}
 		if err != nil {
 			_ = it.Close()
-			if errors.Is(err, ErrStop) {
-				return nil
-			}
 			return inTerms(err)
 		}
 	}
@@ -319,9 +307,6 @@
 // Compact makes room that deleted keys still take.
 func (s *Store) Compact(from, to []byte) error { return s.db.Compact(background, from, to, false) }
 
-// Copy writes a copy of the store as it is now to another directory, which must not exist.
-func (s *Store) Copy(dir string) error { return s.db.Checkpoint(dir, pebble.WithFlushedWAL()) }
-
 // Close ends the store. What was not committed is gone.
 func (s *Store) Close() (err error) {
 	s.hold.close()
--- a/internal/store/writer.go
+++ b/internal/store/writer.go
@@ -116,7 +116,6 @@
 	Overdue uint64
 	Taken   uint64
 	Commits uint64
-	Changes uint64
 	Err     error
 }
 
@@ -126,7 +125,7 @@
 	defer w.mu.Unlock()
 	w.look(w.opt.Now())
 	state, _ := w.gate.State()
-	return Status{state, w.gate.Open(), w.gate.AtRisk(), w.gate.Lost, w.gate.OverTime, w.taken, w.commit, w.gate.Changes, w.err}
+	return Status{state, w.gate.Open(), w.gate.AtRisk(), w.gate.Lost, w.gate.OverTime, w.taken, w.commit, w.err}
 }
 
 // Close commits what waits, if the disk takes it, and ends the writer.
--- a/internal/vnet/router.go
+++ b/internal/vnet/router.go
@@ -365,6 +365,3 @@
 		}
 	})
 }
-
-// Disk is the router's.
-func (r *Router) Disk() *Disk { return r.disk }
--- a/internal/vnet/stream.go
+++ b/internal/vnet/stream.go
@@ -101,7 +101,6 @@
 	l.w.At(e.arrive, func() {
 		if !e.s.gone && other.Data != nil {
 			l.w.mark('s', other.addr, piece)
-			l.w.Sent++
 			other.Data(piece)
 		}
 	})
--- a/internal/vnet/world.go
+++ b/internal/vnet/world.go
@@ -36,7 +36,6 @@
 	trace *xxhash.Digest
 	tap   *capture.Writer
 	Steps uint64 // things that happened
-	Sent  uint64 // datagrams and pieces of streams
 	buf   [32]byte
 }
 
@@ -251,7 +250,6 @@
 	deliver := func() {
 		if q := w.ports[to]; q != nil {
 			w.mark('d', to, held)
-			w.Sent++
 			q.to.Receive(p.addr, held)
 		}
 	}
