Reread: the lab judges what it plays in one way; sockets and virtual clock answer for themselves

Need: a reread of the lab.

Change: judged plays under a tap and judges, for kills, starts and calls alike; the figures of whole calls stand once; what differs between sockets and the virtual clock (together or in turn, tap delay, switches by ISUP) is asked of the ground in place of a type and a delay that stood for it; whether an export goes to an address is told by the export.

--- a/cmd/pipitring/cdr.go
+++ b/cmd/pipitring/cdr.go
@@ -280,7 +280,7 @@
 		}
 		o := records.ExportOptions{Dir: to, Timeout: 30 * time.Second, ExportSettings: cdr.ExportSettings{Target: name, Router: router,
 			Format: form, Most: 10000, Least: 1, Keep: 1000}}
-		if strings.Contains(to, "://") {
+		if (&config.Export{To: to}).Address() {
 			o.Dir, o.URL = "", to
 		}
 		return []records.ExportOptions{o}, nil
@@ -361,7 +361,7 @@
 				}
 				if f.set != nil {
 					for _, e := range f.set.Records.Export {
-						if !strings.Contains(e.To, "://") {
+						if !e.Address() {
 							dirs = append(dirs, e.To)
 						}
 					}
--- a/internal/config/records.go
+++ b/internal/config/records.go
@@ -139,7 +139,7 @@
 		if _, err := cdr.ParseFormat(e.Format); err != nil {
 			d.Report(key+".format", "%v", err)
 		}
-		if strings.Contains(e.To, "://") {
+		if e.Address() {
 			if u, err := url.Parse(e.To); err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
 				d.Report(key+".to", "%q is no address such as \"http://127.0.0.1:8080/files\"", e.To)
 			}
@@ -170,6 +170,9 @@
 	}
 }
 
+// Address tells whether an export goes to a receiver's address; else it goes to a directory.
+func (e *Export) Address() bool { return strings.Contains(e.To, "://") }
+
 // Bearer reads an export's token; "" where it needs none.
 func (e *Export) Bearer() (string, error) {
 	if e.Token == "" {
--- a/internal/lab/calls.go
+++ b/internal/lab/calls.go
@@ -1,7 +1,6 @@
 package lab
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -133,21 +132,12 @@
 // judgedCalls offers 980 calls a second once more with a tap, which the other passes go without, and counts the
 // rules broken in what crossed the sockets.
 func judgedCalls(ctx context.Context, length time.Duration) (int, error) {
-	var held bytes.Buffer
-	tap, err := capture.NewWriter(&held)
-	if err != nil {
-		return 0, err
-	}
-	tap.Notice(time.Now(), capture.Notice{Figures: &capture.Figures{DrainGrace: time.Second, ReleaseWait: 300 * time.Millisecond,
-		Patience: map[string]time.Duration{callsClass: callsPatience}}})
-	tap.Notice(time.Now(), capture.Notice{Router: &capture.Life{Exchange: 0, Up: true}})
-	if _, err := callsAt(ctx, 980, length, false, tap); err != nil {
-		return 0, err
-	}
-	if err := tap.Close(); err != nil {
-		return 0, err
-	}
-	rep, err := Judge(&held)
+	rep, err := judged(func(tap *capture.Writer) error {
+		tap.Notice(time.Now(), callsFigures())
+		tap.Notice(time.Now(), capture.Notice{Router: &capture.Life{Exchange: 0, Up: true}})
+		_, err := callsAt(ctx, 980, length, false, tap)
+		return err
+	})
 	if err != nil {
 		return 0, err
 	}
@@ -157,6 +147,12 @@
 	return len(rep.Broken), nil
 }
 
+// callsFigures are what the rules are judged by where whole calls are measured.
+func callsFigures() capture.Notice {
+	return capture.Notice{Figures: &capture.Figures{DrainGrace: time.Second, ReleaseWait: 300 * time.Millisecond,
+		Patience: map[string]time.Duration{callsClass: callsPatience}}}
+}
+
 // callsPass is one pass: whole calls at a rate to one router with a switch behind it, or to the switch itself.
 type callsPass struct {
 	rate   float64
--- a/internal/lab/day.go
+++ b/internal/lab/day.go
@@ -114,6 +114,22 @@
 	return c.Report(), nil
 }
 
+// judged plays something under a tap and judges what it saw.
+func judged(play func(tap *capture.Writer) error) (*rules.Report, error) {
+	var held bytes.Buffer
+	tap, err := capture.NewWriter(&held)
+	if err != nil {
+		return nil, err
+	}
+	if err := play(tap); err != nil {
+		return nil, err
+	}
+	if err := tap.Close(); err != nil {
+		return nil, err
+	}
+	return Judge(&held)
+}
+
 // play runs the fleet through its day.
 func play(ctx context.Context, s *Script, tap *capture.Writer, o DayOptions, res *DayResult) error {
 	log := o.Log
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -53,6 +53,9 @@
 	listURL(x int) string               // where a router asks for the list
 	streamAddr(p [2]int) netip.AddrPort // where the lesser of two routers connects for M3UA
 	readRecords(res *DayRecords) (keptRecords, error)
+	each(at []int, do func(x int) error) error // several exchanges at one time
+	tapDelay() time.Duration                   // how much later one tap may record what crossed than another
+	isupSwitches() bool                        // switches speak ISUP where all routers do
 }
 
 // fleet is routers and their stand-ins.
@@ -73,8 +76,7 @@
 	circuits map[[2]int]int   // of each group, by the lesser and the greater exchange
 	keep     map[[2]int]float64
 	lines    []standin.Line
-	dir      string        // of all that is kept on disk
-	late     time.Duration // how much later one tap may record what crossed than another
+	dir      string // of all that is kept on disk
 }
 
 // sockets is a fleet's ground on loopback.
@@ -91,6 +93,10 @@
 
 func (g *sockets) wall() time.Time { return time.Now() }
 
+func (g *sockets) tapDelay() time.Duration { return busyTap }
+
+func (g *sockets) isupSwitches() bool { return true }
+
 func (g *sockets) listURL(x int) string { return g.register.URL(x) }
 
 func (g *sockets) streamAddr(p [2]int) netip.AddrPort { return g.streams[p].Addr() }
@@ -127,8 +133,8 @@
 // longWarm is how long the processors of a fleet have run when it starts, as the list tells it.
 const longWarm = 5 * time.Hour
 
-// tapDelay is how much later a busy machine may record one datagram than another.
-const tapDelay = 40 * time.Millisecond
+// busyTap is how much later a busy machine may record one datagram than another.
+const busyTap = 40 * time.Millisecond
 
 var anyPort = netip.MustParseAddrPort("127.0.0.1:0")
 
@@ -137,7 +143,7 @@
 	n := s.Fleet.Exchanges
 	f := &fleet{script: s, tap: tap, log: log, rng: rand.New(rand.NewPCG(s.Seed, 3)), links: map[[2]int]link{},
 		streams: map[[2]int]link{}, m3ua: make([]netip.AddrPort, n), circuits: map[[2]int]int{}, keep: map[[2]int]float64{},
-		routers: make([]router, n), at: make([]netip.AddrPort, n), late: tapDelay}
+		routers: make([]router, n), at: make([]netip.AddrPort, n)}
 	return f
 }
 
@@ -339,7 +345,7 @@
 		s.Seed*1000+uint64(x)+1)
 	// The wait is set over the figure that is judged by: the far end counts from when it hears of the release, and so
 	// does the tap.
-	p("[rules]\nrelease_wait = %q\ndrain_grace = %q\ncold_from = %v\ncold_for = %q\nfall_multiple = %v", s.Fleet.ReleaseWait+f.late,
+	p("[rules]\nrelease_wait = %q\ndrain_grace = %q\ncold_from = %v\ncold_for = %q\nfall_multiple = %v", s.Fleet.ReleaseWait+f.ground.tapDelay(),
 		s.Fleet.DrainGrace, s.Fleet.ColdFrom, s.Fleet.ColdFor, s.Fleet.FallMultiple)
 	p("[list]\nregister = %q\nwait = \"10s\"", f.ground.listURL(x))
 	p("[iax]\nmax_per_host = 0\ncall_tokens = true\nretry_first = \"300ms\"\naccept_delay = %q\nping_every = \"2s\"\nlinger = \"2s\"", s.Fleet.AcceptDelay)
@@ -349,7 +355,7 @@
 		p("[m3ua]\nlisten = %q\n[isup]\nt1 = \"1s\"\nt5 = \"20s\"\nt16 = \"1s\"\nt17 = \"20s\"", f.m3ua[x])
 	}
 	p("[switch]\ncircuits = %d", s.Fleet.Lines)
-	if s.Fleet.Front == "m3ua" && f.late > 0 { // switches of the virtual clock speak IAX2
+	if s.Fleet.Front == "m3ua" && f.ground.isupSwitches() {
 		p("front = \"isup\"\npoint_code = %d", switchPoint(x))
 	}
 	for _, c := range s.Class {
@@ -404,18 +410,11 @@
 }
 
 // killAll ends routers at the same time: one after the other would take seconds.
-func (f *fleet) killAll(at []int) error { return f.each(at, f.kill) }
+func (f *fleet) killAll(at []int) error { return f.ground.each(at, f.kill) }
 
-// each does something to several exchanges, on loopback at the same time; the virtual clock stands still meanwhile, and
-// what it plays is one goroutine's.
-func (f *fleet) each(at []int, do func(x int) error) error {
+// each does something to several exchanges at the same time.
+func (g *sockets) each(at []int, do func(x int) error) error {
 	errs := make([]error, len(at))
-	if _, ok := f.ground.(*virtual); ok {
-		for i, x := range at {
-			errs[i] = do(x)
-		}
-		return errors.Join(errs...)
-	}
 	var wg sync.WaitGroup
 	for i, x := range at {
 		wg.Go(func() { errs[i] = do(x) })
--- a/internal/lab/kill.go
+++ b/internal/lab/kill.go
@@ -65,18 +65,7 @@
 	}
 	defer func() { _ = os.RemoveAll(dir) }() // of the system's temporary files: it cleans up what stays
 	res := &KillResult{Kills: o.Kills}
-	var held bytes.Buffer
-	tap, err := capture.NewWriter(&held)
-	if err != nil {
-		return nil, err
-	}
-	if err := kills(ctx, o, dir, tap, res); err != nil {
-		return nil, err
-	}
-	if err := tap.Close(); err != nil {
-		return nil, err
-	}
-	rep, err := Judge(&held)
+	rep, err := judged(func(tap *capture.Writer) error { return kills(ctx, o, dir, tap, res) })
 	if err != nil {
 		return nil, err
 	}
@@ -112,8 +101,7 @@
 
 // kills runs the process, its switch and its callers.
 func kills(ctx context.Context, o KillOptions, dir string, tap *capture.Writer, res *KillResult) error {
-	tap.Notice(time.Now(), capture.Notice{Figures: &capture.Figures{DrainGrace: time.Second, ReleaseWait: 300 * time.Millisecond,
-		Patience: map[string]time.Duration{callsClass: callsPatience}}})
+	tap.Notice(time.Now(), callsFigures())
 	sw, err := standin.NewSwitch(anyPort, standin.SwitchSpec{Exchange: 1, Rate: 1e9, QueueWait: time.Second, Lines: 1e6,
 		RingFor: 5 * time.Millisecond}, o.Seed, tap)
 	if err != nil {
--- a/internal/lab/records.go
+++ b/internal/lab/records.go
@@ -49,7 +49,7 @@
 			at = append(at, x)
 		}
 	}
-	return f.each(at, func(x int) error {
+	return f.ground.each(at, func(x int) error {
 		r := f.routers[x]
 		f.routers[x] = nil
 		return r.Stop()
--- a/internal/lab/start.go
+++ b/internal/lab/start.go
@@ -1,7 +1,6 @@
 package lab
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -119,11 +118,6 @@
 	if err != nil {
 		return nil, err
 	}
-	var held bytes.Buffer
-	tap, err := capture.NewWriter(&held)
-	if err != nil {
-		return nil, err
-	}
 	seconds := make([]standin.Tally, startWatch)
 	look := func(f *fleet) {
 		for _, x := range c.watched {
@@ -136,13 +130,9 @@
 		}
 	}
 	var day DayResult
-	if err := play(ctx, s, tap, DayOptions{Progress: io.Discard, look: look}, &day); err != nil {
-		return nil, err
-	}
-	if err := tap.Close(); err != nil {
-		return nil, err
-	}
-	rep, err := Judge(&held)
+	rep, err := judged(func(tap *capture.Writer) error {
+		return play(ctx, s, tap, DayOptions{Progress: io.Discard, look: look}, &day)
+	})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/lab/virtual.go
+++ b/internal/lab/virtual.go
@@ -58,6 +58,19 @@
 
 func (g *virtual) wall() time.Time { return g.w.Wall() }
 
+// each does something to several exchanges while the clock stands still: what it plays is one goroutine's.
+func (g *virtual) each(at []int, do func(x int) error) error {
+	var errs []error
+	for _, x := range at {
+		errs = append(errs, do(x))
+	}
+	return errors.Join(errs...)
+}
+
+func (g *virtual) tapDelay() time.Duration { return 0 }
+
+func (g *virtual) isupSwitches() bool { return false }
+
 func (g *virtual) listURL(int) string { return "http://127.0.0.1:9" } // nobody asks there
 
 func (g *virtual) streamAddr(p [2]int) netip.AddrPort { return vnet.RouterAddr(p[1]) }
@@ -264,7 +277,6 @@
 func startVirtual(s *Script, tap *capture.Writer, o VirtualOptions) (g *virtual, err error) {
 	n := s.Fleet.Exchanges
 	f := newFleet(s, tap, zap.NewNop())
-	f.late = 0
 	w := vnet.New(s.Seed, tap)
 	g = &virtual{f: f, w: w, o: o, unproven: map[int]bool{}, disks: make([]*vnet.Disk, n), lives: make([]int, n), drifts: make([]float64, n)}
 	g.register = &vregister{g: g, views: make([]view, n)}
--- a/internal/runtime/records.go
+++ b/internal/runtime/records.go
@@ -79,7 +79,7 @@
 			return nil, fmt.Errorf("records.export %q: %w", e.Name, err)
 		}
 		x.Dir = e.To
-		if isAddress(e.To) {
+		if e.Address() {
 			x.Dir, x.URL = "", e.To
 		}
 		out = append(out, x)
@@ -87,15 +87,6 @@
 	return out, nil
 }
 
-func isAddress(to string) bool {
-	for i := range len(to) - 2 {
-		if to[i:i+3] == "://" {
-			return true
-		}
-	}
-	return false
-}
-
 // watch looks at the disk's state until ctx ends, and tells the loop when new calls are to be refused or taken again.
 func (k *keeping) watch(ctx context.Context) {
 	t := time.NewTicker(look)
