--- a/cmd/pipitring/main.go
+++ b/cmd/pipitring/main.go
@@ -29,7 +29,7 @@
 	defer stop()
 	root := &cobra.Command{Use: "pipitring", Short: "Call router over trunk groups of a private voice network",
 		SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(serveCommand(), checkCommand(), dayCommand(), rulesCommand(), labCommand(), cdrCommand())
+	root.AddCommand(serveCommand(), platformCommand(), checkCommand(), dayCommand(), rulesCommand(), labCommand(), cdrCommand())
 	root.SetArgs(args)
 	switch err := root.ExecuteContext(ctx); {
 	case err == nil:
--- /dev/null
+++ b/cmd/pipitring/platform.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+	"go.uber.org/zap"
+
+	"pipitring/internal/config"
+	"pipitring/internal/platform"
+	"pipitring/internal/runtime"
+)
+
+const platformLinesPerSecond = 20 // of one kind: the log costs the proxy's own core
+
+func platformCommand() *cobra.Command {
+	return &cobra.Command{Use: "platform", Short: "Run as a signalling proxy of the users' platform, told by NODE_CONFIG",
+		Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error { return servePlatform(cmd.Context()) }}
+}
+
+// servePlatform runs one proxy: SIGTERM lets it end once nothing is open, SIGHUP rereads the configuration.
+func servePlatform(ctx context.Context) error {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	file := os.Getenv("NODE_CONFIG")
+	if file == "" {
+		return errors.New("NODE_CONFIG names no file")
+	}
+	cfg, err := runtime.LoadPlatform(file)
+	if err != nil {
+		return err
+	}
+	log, err := runtime.NewLogger(config.Log{Level: "info", PerSecond: platformLinesPerSecond})
+	if err != nil {
+		return err
+	}
+	runtime.SetLimits(cfg)
+	p, err := runtime.StartPlatform(cfg, log)
+	if err != nil {
+		return err
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- p.Wait() }()
+	for {
+		select {
+		case err := <-ended:
+			return err
+		case <-ctx.Done():
+			log.Info("told to end: tests fail from now, what comes is still served")
+			p.Tell(func(core *platform.Core, now time.Duration) { core.Stop(now) })
+			ctx = context.Background()
+		case <-hup:
+			next, err := runtime.LoadPlatform(file)
+			if err != nil {
+				log.Error("configuration not reread: the old one stays", zap.Error(err))
+				continue
+			}
+			p.Tell(func(core *platform.Core, now time.Duration) { core.Move(now, next.Coordinator) })
+		}
+	}
+}
--- /dev/null
+++ b/internal/platform/callers.go
@@ -0,0 +1,340 @@
+package platform
+
+import (
+	"strconv"
+	"time"
+
+	"pipitring/decide"
+	"pipitring/internal/coordinator"
+	"pipitring/internal/jsonl"
+)
+
+// Bounds of callers' connections.
+const (
+	speakWithin = 2 * time.Second        // one that asked for nothing after this is closed,
+	speakSoon   = 300 * time.Millisecond // one that comes to ask does so by then, mostly
+	idleFor     = 10 * time.Second       // and one that has had no set-up open for this long
+)
+
+// caller is a connection from callers.
+type caller struct {
+	core   *Core
+	id     Conn
+	lines  jsonl.Lines
+	opened time.Duration
+	used   time.Duration // last time a set-up was open on it
+	asked  bool          // has sent something good
+	open   int           // set-ups owed an answer
+	ended  bool
+}
+
+func quote(s string) []byte { return jsonl.Quote(s) }
+
+// Accept takes a connection from a caller; the runtime hands on what it brings under the handle. Over the budget of
+// descriptors the one that has been silent longest gives way.
+func (c *Core) Accept(now time.Duration) Conn {
+	c.tell(now)
+	c.lastConn++
+	p := &caller{core: c, id: c.lastConn, opened: c.now, used: c.now}
+	c.callers[p.id] = p
+	if len(c.callers) > c.cfg.budget(len(c.switches)) {
+		c.Stats.TurnedAway++
+		c.leastUsed().end(false)
+	}
+	return p.id
+}
+
+// leastUsed is the connection whose loss costs least: one that has been silent since it came, else one without an
+// open set-up, longest unused first, else the newest.
+func (c *Core) leastUsed() *caller {
+	var best *caller
+	rank := func(p *caller) int {
+		switch {
+		case p.open > 0:
+			return 2
+		case p.asked || c.now-p.opened < speakSoon:
+			return 1
+		}
+		return 0
+	}
+	for _, p := range c.callers {
+		switch {
+		case best == nil, rank(p) < rank(best):
+			best = p
+		case rank(p) > rank(best):
+		case rank(p) == 2 && p.id > best.id, rank(p) < 2 && (p.used < best.used || p.used == best.used && p.id < best.id):
+			best = p
+		}
+	}
+	return best
+}
+
+// watchCallers closes connections of no use: too little said, or nothing open for long.
+func (c *Core) watchCallers() {
+	var gone []*caller
+	for _, p := range c.callers {
+		limit := idleFor
+		if !p.asked || p.lines.Partial() {
+			limit = speakWithin
+		}
+		if p.open == 0 && c.now-p.used > limit {
+			gone = append(gone, p)
+		}
+	}
+	sortByConn(gone)
+	for _, p := range gone {
+		p.end(true)
+	}
+}
+
+// end closes a caller's connection; set-ups that are open on it get their final answer before.
+func (p *caller) end(gently bool) {
+	if p.ended {
+		return
+	}
+	p.ended = true
+	for _, k := range p.core.openOn(p) {
+		p.core.giveUp(k)
+		p.down(k.ref, jsonl.Temporary, 0)
+	}
+	delete(p.core.callers, p.id)
+	p.core.close(p.id, gently)
+}
+
+func (p *caller) down(ref string, cause int, wait time.Duration) {
+	p.core.line(p.id, func(b []byte) []byte { return jsonl.AppendDown(b, ref, cause, wait) })
+}
+
+func (p *caller) receive(b []byte) {
+	err := p.lines.Push(b, func(line []byte) bool {
+		p.message(line)
+		return !p.ended
+	})
+	if err != nil && !p.ended {
+		p.bad("", err)
+	}
+}
+
+// bad answers what cannot be used with a failure, where it names a call, and ends the connection.
+func (p *caller) bad(ref string, _ error) {
+	p.core.Stats.BadCallers++
+	if ref != "" {
+		p.down(ref, jsonl.Temporary, 0)
+	}
+	p.end(true)
+}
+
+func (p *caller) message(line []byte) {
+	m, err := jsonl.Parse(line)
+	if err != nil {
+		ref := m.Ref
+		if k := p.core.calls[ref]; k != nil && k.from == p {
+			ref = "" // it gets its one answer when the connection ends
+		}
+		p.bad(ref, err)
+		return
+	}
+	switch m.Type {
+	case jsonl.New:
+		p.setUp(&m)
+	case jsonl.Down:
+		p.release(&m)
+	case jsonl.Test:
+		p.asked, p.used = true, p.core.now
+		p.core.line(p.id, func(b []byte) []byte { return jsonl.AppendTested(b, m.Ref, p.core.Ready()) })
+	case jsonl.Ack, jsonl.Wait, jsonl.Tested:
+	default:
+		p.bad(m.Ref, jsonl.ErrType)
+	}
+}
+
+// offer is what a caller's set-up says.
+type offer struct {
+	decide.Offer
+	at   decide.ExchangeID // a call that stands there already
+	isAt bool
+	key  []byte // as a JSON string; nil is none
+}
+
+const (
+	mostLeft = int64(24 * time.Hour / time.Millisecond)
+	mostDest = 1<<16 - 1
+	// A line to a switch holds less than the caller's did but for escapes in names; a description over this could
+	// pass the limit.
+	mostDesc = jsonl.MaxLine - 512
+)
+
+// read checks a set-up's fields. Nothing that a switch could not read gets past it.
+func (p *caller) read(m *jsonl.Message) (o offer, ok bool) {
+	class, known := p.core.classes[m.Fields["class"]]
+	left, good := m.Number("left", 0, mostLeft)
+	if !known || !good || len(m.Desc) > mostDesc {
+		return o, false
+	}
+	o.Class, o.Patience = class, time.Duration(left)*time.Millisecond
+	o.Dest, o.Width, o.Advised = decide.Unknown, p.core.cfg.Setup.Settings.Classes[class].Width, decide.Unknown
+	if key, has := m.Fields["key"]; has {
+		n, err := strconv.ParseUint(key, 16, 64)
+		if err != nil || !jsonl.IsHex(key) {
+			return o, false
+		}
+		o.Number, o.key = n, quote(key)
+	}
+	if r, has := m.Fields["retry"]; has && r != "0" {
+		if r != "1" {
+			return o, false
+		}
+		o.Redial = true
+	}
+	if !o.extras(m.Fields["extras"]) || m.Desc == nil && !o.isAt {
+		return o, false
+	}
+	return o, true
+}
+
+// extras reads figures in the form of dest:2;width:1;via:-1. Unknown names are ignored.
+func (o *offer) extras(text string) bool {
+	via := decide.Unknown
+	for name, value := range pairs(text) {
+		if name == "at" {
+			id, err := coordinator.ParseID(value)
+			if err != nil {
+				return false
+			}
+			o.at, o.isAt = decide.ExchangeID(id), true
+			continue
+		}
+		n, err := strconv.ParseFloat(value, 64)
+		if err != nil || n != float64(int(n)) || n < -1 || n > mostDest {
+			return false
+		}
+		switch name {
+		case "dest":
+			o.Dest = int(n)
+		case "width":
+			if n < 1 {
+				return false
+			}
+			o.Width = int(n)
+		case "via":
+			via = int(n)
+		case "transit":
+			o.Transit = n == 1
+		case "again":
+			o.WasCut = n == 1
+		}
+	}
+	if !o.Transit {
+		o.Advised = via // in transit it is where the call comes from
+	}
+	return o.Dest >= 0 || o.isAt
+}
+
+func (p *caller) setUp(m *jsonl.Message) {
+	c := p.core
+	o, ok := p.read(m)
+	if k := c.calls[m.Ref]; k != nil {
+		switch {
+		case ok && o.isAt: // named again: it is held already
+			k.from = p
+		case k.from == p && !k.standing:
+			// Both set-ups bear one reference, so one answer is all that can be told: the first call is given up
+			// and the failure ends them both.
+			p.bad("", jsonl.ErrRef)
+		default:
+			p.bad(m.Ref, jsonl.ErrRef)
+		}
+		return
+	}
+	if !ok {
+		c.Stats.BadCallers++
+		p.down(m.Ref, jsonl.Temporary, 0)
+		return
+	}
+	if o.isAt {
+		c.adopt(p, m.Ref, o)
+		return
+	}
+	p.asked, p.used = true, c.now
+	c.lastGood = p.id
+	c.sendHomeless()
+	if most := c.cfg.Setup.MaxOpen; most > 0 && c.open >= most {
+		c.Stats.Refused++
+		p.down(m.Ref, jsonl.Congestion, 0)
+		return
+	}
+	c.offer(p, m, o)
+}
+
+// release ends what a caller names: an open set-up, which only its own connection may give up, or a standing call.
+func (p *caller) release(m *jsonl.Message) {
+	k := p.core.calls[m.Ref]
+	switch {
+	case k == nil:
+	case k.standing:
+		p.asked, p.used = true, p.core.now
+		p.core.hangUp(k, m.Cause)
+	case k.from == p:
+		p.core.Stats.Left++
+		p.core.giveUp(k)
+	}
+}
+
+// callerLost takes in that a caller's connection has ended: set-ups open on it are given up, standing calls are not.
+func (p *caller) lost() {
+	if p.ended {
+		return
+	}
+	p.ended = true
+	delete(p.core.callers, p.id)
+	for _, k := range p.core.openOn(p) {
+		p.core.Stats.Left++
+		p.core.giveUp(k)
+	}
+}
+
+// tellCaller sends a line about a standing call: on its own connection, else on one that callers use, else on the
+// next such.
+func (c *Core) tellCaller(k *call, cause int) {
+	to := k.from
+	if to == nil || to.ended {
+		to = c.callers[c.lastGood]
+	}
+	if to == nil {
+		to = c.anyCaller()
+	}
+	if to != nil {
+		to.down(k.ref, cause, 0)
+		return
+	}
+	line := string(jsonl.AppendDown(nil, k.ref, cause, 0))
+	c.homeless = append(c.homeless, line)
+	c.after(releaseFor, func() {
+		if len(c.homeless) > 0 && c.homeless[0] == line {
+			c.homeless = c.homeless[1:]
+		}
+	})
+}
+
+// anyCaller is the newest connection that has asked for something.
+func (c *Core) anyCaller() (best *caller) {
+	for _, p := range c.callers {
+		if p.asked && (best == nil || p.id > best.id) {
+			best = p
+		}
+	}
+	return best
+}
+
+func (c *Core) sendHomeless() {
+	if len(c.homeless) == 0 {
+		return
+	}
+	c.line(c.lastGood, func(b []byte) []byte {
+		for _, l := range c.homeless {
+			b = append(b, l...)
+		}
+		return b
+	})
+	c.homeless = nil
+}
--- /dev/null
+++ b/internal/platform/core.go
@@ -0,0 +1,305 @@
+package platform
+
+import (
+	"net/netip"
+	"time"
+
+	"pipitring/decide"
+	"pipitring/internal/coordinator"
+	"pipitring/internal/timers"
+)
+
+// Conn is the handle of a connection; 0 is none.
+type Conn uint64
+
+// How dialling a connection failed.
+type DialError uint8
+
+// Kinds of DialError.
+const (
+	Silent  DialError = iota // not up in time
+	Refused                  // nobody listens there: the process is dead
+)
+
+// Output is something that the runtime has to do: one of the types below.
+type Output interface{ output() }
+
+type (
+	// Write sends bytes on a connection.
+	Write struct {
+		Conn  Conn
+		Bytes []byte
+	}
+	// Close ends a connection. Gently, what was written is still delivered: this side ends first and reads on for
+	// a short while.
+	Close struct {
+		Conn   Conn
+		Gently bool
+	}
+	// Dial asks for a connection that goes by Conn from now on.
+	Dial struct {
+		Conn Conn
+		To   netip.AddrPort
+		Wait time.Duration
+	}
+	// Note is a line for the log.
+	Note struct{ Text string }
+	// Exit ends the process: it was told to stop, nothing is open and no more can be coming.
+	Exit struct{}
+)
+
+func (Write) output() {}
+func (Close) output() {}
+func (Dial) output()  {}
+func (Note) output()  {}
+func (Exit) output()  {}
+
+// Limits that no setting names.
+const (
+	readyWithin  = 1500 * time.Millisecond // a switch that says nothing does not hold up readiness longer
+	overlap      = 20 * time.Millisecond   // the proxy's answer is on its way this long before the caller gives up
+	moreComing   = 800 * time.Millisecond  // set-ups still come after SIGTERM
+	releaseFor   = 8 * time.Second         // a release that could not be sent is of no use after this
+	adoptedFor   = 10 * time.Minute        // a call named by 'at' that nobody ever ends is forgotten
+	earlyKept    = 1024                    // releases that came before their call was named by 'at'
+	outsKept     = 64
+	houseKeeping = 250 * time.Millisecond
+)
+
+// Stats count what a proxy does.
+type Stats struct {
+	Calls, Answered, Refused, Failed, Left uint64
+	Attempts                               uint64
+	BadCallers, BadSwitches, TurnedAway    uint64
+}
+
+// Core is the state of one proxy. All times are since its start; it is not safe for concurrent use.
+type Core struct {
+	Stats Stats
+
+	cfg   *Config
+	ctl   *decide.Controller
+	wall  time.Time // at time 0
+	now   time.Duration
+	queue timers.Queue[func()]
+
+	outs     []Output
+	lastConn Conn
+	writes   map[Conn][]byte // gathered until Outputs is asked for
+	dirty    []Conn
+
+	pending []decide.Event
+	feeding bool
+
+	calls    map[string]*call // open and standing, by reference
+	byID     map[decide.CallID]*call
+	open     int // owed an answer
+	lastCall decide.CallID
+
+	callers  map[Conn]*caller
+	lastGood Conn     // of a caller that speaks well, the newest
+	homeless []string // lines for callers that have no connection
+	classes  map[string]int
+	quoted   [][]byte // names of the classes as JSON strings
+
+	switches map[decide.ExchangeID]*far
+	links    map[Conn]*link
+	early    map[string]early
+
+	coord    listFeed
+	stopping time.Duration // when SIGTERM came; 0 is not
+	keeper   timers.Entry[func()]
+	exited   bool
+}
+
+// early is a release of a call that is not known here, kept for when 'at' names the call.
+type early struct {
+	at    time.Duration
+	cause int
+}
+
+// New makes a proxy at time 0, which is wall on the wall's clock.
+func New(cfg *Config, wall time.Time) *Core {
+	c := &Core{cfg: cfg, wall: wall, ctl: decide.New(cfg.Setup.Settings, cfg.Seed), writes: map[Conn][]byte{},
+		calls: map[string]*call{}, byID: map[decide.CallID]*call{}, callers: map[Conn]*caller{}, classes: map[string]int{},
+		switches: map[decide.ExchangeID]*far{}, links: map[Conn]*link{}, early: map[string]early{}}
+	for i, name := range cfg.Setup.Classes {
+		c.classes[name] = i
+		c.quoted = append(c.quoted, quote(name))
+	}
+	c.takeList(decide.ListCached, cfg.Known)
+	c.coord.begin(c, cfg.Last)
+	c.keeper.Value = c.keepHouse
+	c.queue.Set(&c.keeper, houseKeeping)
+	return c
+}
+
+// Next is when Advance is wanted.
+func (c *Core) Next() (time.Duration, bool) { return c.queue.Next() }
+
+// Advance does what is due.
+func (c *Core) Advance(now time.Duration) {
+	c.tell(now)
+	for {
+		e := c.queue.Due(c.now)
+		if e == nil {
+			return
+		}
+		e.Value()
+	}
+}
+
+// tell takes the time in; it never goes back.
+func (c *Core) tell(now time.Duration) { c.now = max(c.now, now) }
+
+// Outputs takes what is to be done, in order; for one connection writes come before its close.
+func (c *Core) Outputs() []Output {
+	for _, id := range c.dirty {
+		if b := c.writes[id]; b != nil {
+			c.outs = append(c.outs, Write{id, b})
+			delete(c.writes, id)
+		}
+	}
+	c.dirty = c.dirty[:0]
+	out := c.outs
+	c.outs = nil
+	return out
+}
+
+// line gathers bytes for a connection: the build function appends them.
+func (c *Core) line(id Conn, build func(b []byte) []byte) {
+	b, ok := c.writes[id]
+	if !ok {
+		c.dirty = append(c.dirty, id)
+	}
+	c.writes[id] = build(b)
+}
+
+// close asks for a connection's end, behind what was written to it.
+func (c *Core) close(id Conn, gently bool) {
+	if b := c.writes[id]; b != nil {
+		c.outs = append(c.outs, Write{id, b})
+		delete(c.writes, id)
+	}
+	c.outs = append(c.outs, Close{id, gently})
+}
+
+func (c *Core) dial(to netip.AddrPort, wait time.Duration) Conn {
+	c.lastConn++
+	c.outs = append(c.outs, Dial{c.lastConn, to, wait})
+	return c.lastConn
+}
+
+func (c *Core) note(text string) { c.outs = append(c.outs, Note{text}) }
+
+// moduleTime is now on the module's clock.
+func (c *Core) moduleTime() time.Duration { return c.now + clockAhead }
+
+// feed gives the module an event and carries out its actions, in order; events that those cause wait their turn.
+func (c *Core) feed(ev decide.Event) {
+	c.pending = append(c.pending, ev)
+	if c.feeding {
+		return
+	}
+	c.feeding = true
+	for i := 0; i < len(c.pending); i++ {
+		for _, a := range c.ctl.Feed(c.moduleTime(), c.pending[i]) {
+			c.carryOut(a)
+		}
+	}
+	clear(c.pending)
+	c.pending, c.feeding = c.pending[:0], false
+}
+
+func (c *Core) carryOut(a decide.Action) {
+	switch a := a.(type) {
+	case decide.SetUp:
+		c.setUp(a)
+	case decide.Refuse:
+		c.refuse(a)
+	case decide.Fail:
+		c.fail(a.Call)
+	case decide.Timer:
+		c.after(a.After, func() { c.feed(decide.TimerDue{Token: a.Token}) })
+	case decide.Subscribe:
+		// Changes come unasked; an empty one says that the list is current.
+		c.feed(decide.List{Kind: decide.ListChanges})
+	case decide.Note:
+		c.note(a.Text)
+	}
+}
+
+func (c *Core) after(d time.Duration, f func()) {
+	c.queue.Set(&timers.Entry[func()]{Value: f}, c.now+max(d, 0))
+}
+
+// takeList takes events of the coordinator in.
+func (c *Core) takeList(kind decide.ListKind, events []coordinator.Event) {
+	for _, ev := range events {
+		list := decide.List{Kind: decide.ListChanges}
+		if ev.Whole {
+			list.Kind = max(kind, decide.ListFull)
+		}
+		for _, e := range ev.Entries {
+			list.Entries = append(list.Entries, decide.Entry{Exchange: decide.ExchangeID(e.ID), Number: e.Number,
+				Zone: e.Zone, Phase: e.Phase, Started: c.started(e.Started)})
+		}
+		changed := c.learn(ev) // before the module may use it,
+		c.feed(list)
+		for _, f := range changed { // and what follows from it once the module knows
+			f.settle()
+		}
+	}
+}
+
+// started puts a start, in Unix milliseconds, on the module's clock; 0 is long ago. Stamps are by the clock that
+// ours is set by, so they are believed as they stand.
+func (c *Core) started(unixMs int64) time.Duration {
+	if unixMs <= 0 {
+		return 0
+	}
+	return max(1, min(c.moduleTime(), time.UnixMilli(unixMs).Sub(c.wall)+clockAhead))
+}
+
+// Stop tells that the process is to end: tests fail from now, all that comes is still served.
+func (c *Core) Stop(now time.Duration) {
+	c.tell(now)
+	if c.stopping == 0 {
+		c.stopping = max(1, c.now)
+	}
+}
+
+// Ready tells whether the proxy passes tests: the list is known, and what each switch's group has.
+func (c *Core) Ready() bool {
+	if c.stopping != 0 {
+		return false
+	}
+	if c.now >= readyWithin {
+		return true
+	}
+	for _, f := range c.switches {
+		if f.wanted() && !f.heardFrom && !f.down {
+			return false
+		}
+	}
+	return len(c.switches) > 0
+}
+
+// keepHouse looks after what has no event of its own.
+func (c *Core) keepHouse() {
+	c.queue.Set(&c.keeper, c.now+houseKeeping)
+	c.watchCallers()
+	for _, f := range c.farInOrder() {
+		f.watch()
+	}
+	for ref, e := range c.early {
+		if c.now-e.at > releaseFor {
+			delete(c.early, ref)
+		}
+	}
+	c.coord.watch()
+	if c.stopping != 0 && !c.exited && c.now-c.stopping > moreComing && len(c.calls) == 0 && len(c.homeless) == 0 {
+		c.exited = true
+		c.outs = append(c.outs, Exit{})
+	}
+}
--- /dev/null
+++ b/internal/platform/switches.go
@@ -0,0 +1,470 @@
+package platform
+
+import (
+	"cmp"
+	"iter"
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"pipitring/decide"
+	"pipitring/internal/coordinator"
+	"pipitring/internal/jsonl"
+	"pipitring/internal/wire"
+)
+
+// Connections to switches.
+const (
+	spreadOver   = 8                      // set-ups out on each connection before another one is made
+	linkPause    = 50 * time.Millisecond  // before a connection that did not come up is tried again, doubling
+	linkPauseMax = 800 * time.Millisecond // up to this
+	linkWait     = 500 * time.Millisecond // for a connection to come up, where no setting says
+	quietFor     = 1500 * time.Millisecond
+	// A machine that vanished says nothing. Where something is at stake and nothing was heard for quietFor, a new
+	// connection proves life; where none comes up for vanishedFor, its calls are over.
+	vanishedFor = 5 * time.Second
+	mostUnsent  = 4096 // releases that wait for a connection
+)
+
+// far is one switch on the list: its process, known by its id, not by its address.
+type far struct {
+	core      *Core
+	id        decide.ExchangeID
+	number    int
+	addr      netip.AddrPort
+	phase     decide.Phase
+	started   int64
+	replaced  bool    // another id has its address
+	restarted bool    // the list told of a new start
+	links     []*link // up
+	dialling  Conn    // 0 is none
+	retry     bool    // a dial is due after a pause
+	pause     time.Duration
+	heard     time.Duration // the last message from it
+	probed    time.Duration
+	heardFrom bool
+	down      bool // the last dial failed
+	waiting   []*attempt
+	standing  int
+	unsent    []byte // releases that wait for a connection
+}
+
+// link is one connection to a switch.
+type link struct {
+	id    Conn
+	to    *far
+	lines jsonl.Lines
+	out   map[string]*attempt // set-ups out on it
+	ended bool
+}
+
+func (l *link) down(ref string, cause int) {
+	l.to.core.line(l.id, func(b []byte) []byte { return jsonl.AppendDown(b, ref, cause, 0) })
+}
+
+// wanted tells whether a connection is kept up: for reports while set-ups may go there, for releases while calls stand.
+func (f *far) wanted() bool {
+	return f.phase == decide.Ready && f.number != f.core.cfg.Setup.Settings.Own || f.standing > 0 || len(f.waiting) > 0 ||
+		len(f.unsent) > 0
+}
+
+// pick chooses the connection with the fewest set-ups out, and has another one made when all have many: what spoils a
+// connection cuts all that is out on it.
+func (f *far) pick() (best *link) {
+	for _, l := range f.links {
+		if best == nil || len(l.out) < len(best.out) {
+			best = l
+		}
+	}
+	if best != nil && len(best.out) >= spreadOver {
+		f.connect()
+	}
+	return best
+}
+
+// connect makes one more connection, unless one is being made.
+func (f *far) connect() {
+	if f.dialling != 0 || len(f.links) >= maxLinks {
+		return
+	}
+	wait := f.core.cfg.Setup.ConnectTimeout
+	if wait <= 0 {
+		wait = linkWait
+	}
+	f.dialling = f.core.dial(f.addr, wait)
+	f.core.links[f.dialling] = &link{id: f.dialling, to: f, out: map[string]*attempt{}}
+}
+
+// keepUp sees that there is a connection where one is wanted.
+func (f *far) keepUp() {
+	if len(f.links) == 0 && !f.retry && f.wanted() && f.phase != decide.Gone && !f.replaced {
+		f.connect()
+	}
+}
+
+// up takes a connection that was made.
+func (f *far) up(l *link) {
+	f.dialling, f.pause, f.down = 0, 0, false
+	f.heard = f.core.now
+	f.links = append(f.links, l)
+	if len(f.unsent) > 0 {
+		f.core.line(l.id, func(b []byte) []byte { return append(b, f.unsent...) })
+		f.unsent = nil
+	}
+	waiting := f.waiting
+	f.waiting = nil
+	for _, a := range waiting {
+		f.core.send(a, l)
+	}
+}
+
+// notUp takes in that no connection came up. Refused, the process is dead, and its calls with it.
+func (f *far) notUp(l *link, why DialError) {
+	f.dialling, f.down = 0, true
+	delete(f.core.links, l.id)
+	waiting := f.waiting
+	f.waiting = nil
+	for _, a := range waiting {
+		f.core.ended(a, decide.Ended{Outcome: decide.Unreachable, Report: decide.NoReport})
+	}
+	if why == Refused && len(f.links) == 0 {
+		f.cutAll()
+	}
+	f.pause = min(max(2*f.pause, linkPause), linkPauseMax)
+	f.retry = true
+	f.core.after(f.pause, func() {
+		f.retry = false
+		f.keepUp()
+	})
+}
+
+// unwait takes an attempt off those that wait for a connection.
+func (f *far) unwait(a *attempt) {
+	f.waiting = slices.DeleteFunc(f.waiting, func(o *attempt) bool { return o == a })
+}
+
+// cutAll ends the calls that stood at a process that is dead or gone.
+func (f *far) cutAll() {
+	if f.standing == 0 {
+		return
+	}
+	for _, k := range f.core.standingAt(f) {
+		f.core.released(k, jsonl.Temporary, decide.NoReport)
+	}
+}
+
+func (c *Core) standingAt(f *far) (list []*call) {
+	for _, k := range c.calls {
+		if k.standing && k.at == f {
+			list = append(list, k)
+		}
+	}
+	slices.SortFunc(list, func(a, b *call) int { return cmp.Or(cmp.Compare(a.id, b.id), strings.Compare(a.ref, b.ref)) })
+	return list
+}
+
+// lost takes in that a connection has ended, or was spoilt: what was out on it is cut.
+func (l *link) lost() {
+	if l.ended {
+		return
+	}
+	l.ended = true
+	f := l.to
+	delete(f.core.links, l.id)
+	f.links = slices.DeleteFunc(f.links, func(o *link) bool { return o == l })
+	outs := make([]*attempt, 0, len(l.out))
+	for _, a := range l.out {
+		outs = append(outs, a)
+	}
+	slices.SortFunc(outs, func(a, b *attempt) int { return cmp.Compare(a.call.id, b.call.id) })
+	if len(f.links) == 0 && (f.phase == decide.Gone || f.replaced) {
+		f.cutAll()
+	}
+	for _, a := range outs {
+		f.core.ended(a, decide.Ended{Outcome: decide.Cut, Report: decide.NoReport})
+	}
+	f.keepUp()
+	f.core.tidy(f)
+}
+
+// spoil ends a connection that brought what cannot be read.
+func (l *link) spoil(why error) {
+	l.to.core.Stats.BadSwitches++
+	l.to.core.close(l.id, false)
+	l.lost()
+}
+
+// release sends the release of a standing call: on its set-up's connection, else on any, else on the next.
+func (f *far) release(k *call, cause int) {
+	on := k.on
+	if on == nil || on.ended {
+		if len(f.links) == 0 {
+			if len(f.unsent) < mostUnsent*64 && f.phase != decide.Gone && !f.replaced {
+				f.unsent = jsonl.AppendDown(f.unsent, k.ref, cause, 0)
+				f.keepUp()
+			}
+			return
+		}
+		on = f.links[0]
+	}
+	on.down(k.ref, cause)
+}
+
+// watch finds out about switches that fell silent while something is at stake, and keeps connections up.
+func (f *far) watch() {
+	f.keepUp()
+	if f.standing == 0 {
+		return
+	}
+	now := f.core.now
+	switch quiet := now - f.heard; {
+	case quiet > vanishedFor && f.down:
+		f.core.note("switch at " + f.addr.String() + " has vanished: its calls are over")
+		f.cutAll()
+	case quiet > quietFor && now-f.probed > quietFor:
+		f.probed = now
+		if len(f.links) >= maxLinks {
+			idle := f.pick()
+			f.core.close(idle.id, false)
+			idle.lost()
+		}
+		f.connect()
+	}
+}
+
+func (l *link) receive(b []byte) {
+	f := l.to
+	f.heard = f.core.now
+	err := l.lines.Push(b, func(line []byte) bool {
+		m, err := jsonl.Parse(line)
+		if err != nil {
+			l.spoil(err)
+			return false
+		}
+		l.message(&m)
+		return !l.ended
+	})
+	if err != nil && !l.ended {
+		l.spoil(err)
+	}
+}
+
+func (l *link) message(m *jsonl.Message) {
+	f, c := l.to, l.to.core
+	switch m.Type {
+	case jsonl.Up:
+		a := l.out[m.Ref]
+		switch {
+		case a == nil: // a second copy, an unknown id, or one that was given up
+		case m.Desc == nil:
+			l.spoil(jsonl.ErrMissing)
+		default:
+			c.answered(a, m.Desc)
+		}
+	case jsonl.Down:
+		report := c.report(m)
+		if a := l.out[m.Ref]; a != nil {
+			o, cause := outcome(m)
+			c.ended(a, decide.Ended{Outcome: o, Cause: cause, Report: report})
+			return
+		}
+		k := c.calls[m.Ref]
+		switch {
+		case k != nil && k.standing && k.at == f:
+			c.released(k, m.Cause, report)
+		case k == nil && c.now < releaseFor && len(c.early) < earlyKept:
+			c.early[m.Ref] = early{c.now, m.Cause}
+		}
+	case jsonl.Gauge:
+		f.heardFrom = true
+		c.feed(decide.Reported{Exchange: f.id, Outcome: decide.Completed, Report: c.report(m)})
+	}
+}
+
+// outcome puts a release before the answer in the module's terms.
+func outcome(m *jsonl.Message) (decide.Outcome, decide.Cause) {
+	cause := notes[m.Fields["note"]]
+	switch m.Cause {
+	case jsonl.NoCircuit:
+		return decide.Full, cause
+	case jsonl.UserBusy, jsonl.OutOfOrder:
+		return decide.Busy, cause
+	case jsonl.Moot:
+		return decide.NotSent, cause
+	}
+	return decide.Cut, cause
+}
+
+var notes = map[string]decide.Cause{"blocked": decide.NoCircuit, "bounced": decide.TurnedBack,
+	"far_swamped": decide.TurnedBackFull, "swamped": decide.ProcessorFull, "occupied": decide.LinesBusy}
+
+// report reads a load report.
+func (c *Core) report(m *jsonl.Message) decide.Report {
+	r := decide.NoReport
+	for name, value := range pairs(m.Fields["load"]) {
+		if v, err := strconv.ParseFloat(value, 64); err == nil {
+			wire.SetField(&r, name, v)
+		}
+	}
+	return r
+}
+
+// pairs walks over text in the form of x0:12;x1:40.
+func pairs(text string) iter.Seq2[string, string] {
+	return func(yield func(string, string) bool) {
+		for part := range strings.SplitSeq(text, ";") {
+			if name, value, ok := strings.Cut(part, ":"); ok && !yield(name, value) {
+				return
+			}
+		}
+	}
+}
+
+// learn takes an event of the list in: where switches are, and which are gone. It returns those that changed.
+func (c *Core) learn(ev coordinator.Event) (changed []*far) {
+	if ev.Whole {
+		named := map[decide.ExchangeID]bool{}
+		for _, e := range ev.Entries {
+			named[decide.ExchangeID(e.ID)] = true
+		}
+		for _, f := range c.farInOrder() {
+			if !named[f.id] {
+				f.phase = decide.Gone
+				changed = append(changed, f)
+			}
+		}
+	}
+	for _, e := range ev.Entries {
+		f := c.switches[decide.ExchangeID(e.ID)]
+		if f == nil {
+			if e.Phase == decide.Gone {
+				continue
+			}
+			f = &far{core: c, id: decide.ExchangeID(e.ID), started: e.Started, heard: c.now}
+			c.switches[f.id] = f
+		}
+		f.restarted = f.restarted || e.Started > f.started
+		f.number, f.phase, f.started = e.Number, e.Phase, e.Started
+		changed = append(changed, f)
+		if e.Addr == f.addr {
+			continue
+		}
+		f.addr, f.replaced = e.Addr, false
+		for _, o := range c.farInOrder() {
+			if o != f && o.addr == e.Addr {
+				o.replaced = true
+				changed = append(changed, o)
+			}
+		}
+	}
+	return changed
+}
+
+// settle does what follows from a change of the list.
+func (f *far) settle() {
+	if f.phase != decide.Ready || f.replaced {
+		waiting := f.waiting
+		f.waiting = nil
+		for _, a := range waiting { // told while they waited for a connection: they do not leave
+			f.core.ended(a, decide.Ended{Outcome: decide.NotSent, Report: decide.NoReport})
+		}
+	}
+	if len(f.links) == 0 && (f.phase == decide.Gone || f.replaced || f.restarted) {
+		f.cutAll() // what stood before its end or its start is over
+	}
+	f.restarted = false
+	f.keepUp()
+	f.core.tidy(f)
+}
+
+// tidy drops what is left of a switch that is gone once nothing is out or stands there.
+func (c *Core) tidy(f *far) {
+	if f.phase != decide.Gone || f.standing > 0 || c.switches[f.id] != f {
+		return
+	}
+	for _, l := range f.links {
+		if len(l.out) > 0 {
+			return
+		}
+	}
+	delete(c.switches, f.id)
+	links := f.links
+	f.links = nil
+	for _, l := range links {
+		l.ended = true
+		delete(c.links, l.id)
+		c.close(l.id, false)
+	}
+}
+
+// farInOrder lists the switches by id, so that two runs agree.
+func (c *Core) farInOrder() []*far {
+	list := make([]*far, 0, len(c.switches))
+	for _, f := range c.switches {
+		list = append(list, f)
+	}
+	slices.SortFunc(list, func(a, b *far) int { return cmp.Compare(a.id, b.id) })
+	return list
+}
+
+func sortByConn(list []*caller) {
+	slices.SortFunc(list, func(a, b *caller) int { return cmp.Compare(a.id, b.id) })
+}
+
+// Connected tells that a connection that was dialled is up.
+func (c *Core) Connected(now time.Duration, id Conn) {
+	c.tell(now)
+	if id == c.coord.conn {
+		c.coord.opened()
+		return
+	}
+	if l := c.links[id]; l != nil && l.to.dialling == id {
+		if l.to.phase == decide.Gone && l.to.standing == 0 {
+			l.to.dialling = 0
+			delete(c.links, id)
+			c.close(id, false)
+			return
+		}
+		l.to.up(l)
+		return
+	}
+	c.close(id, false) // no longer wanted
+}
+
+// NotConnected tells that a connection did not come up.
+func (c *Core) NotConnected(now time.Duration, id Conn, why DialError) {
+	c.tell(now)
+	if id == c.coord.conn {
+		c.coord.lost()
+		return
+	}
+	if l := c.links[id]; l != nil && l.to.dialling == id {
+		l.to.notUp(l, why)
+	}
+}
+
+// Receive takes what a connection brought.
+func (c *Core) Receive(now time.Duration, id Conn, b []byte) {
+	c.tell(now)
+	if p := c.callers[id]; p != nil {
+		p.receive(b)
+	} else if l := c.links[id]; l != nil {
+		l.receive(b)
+	} else if id == c.coord.conn {
+		c.coord.receive(b)
+	}
+}
+
+// Closed tells that the other end closed a connection, or that it broke.
+func (c *Core) Closed(now time.Duration, id Conn) {
+	c.tell(now)
+	if p := c.callers[id]; p != nil {
+		p.lost()
+	} else if l := c.links[id]; l != nil {
+		l.lost()
+	} else if id == c.coord.conn {
+		c.coord.lost()
+	}
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -13,6 +13,11 @@
 type Setup struct {
 	Settings decide.Settings
 	Fields   []string // names of a load report's values
+	Classes  []string // names, as callers on sockets give them
+	Zones    []string
+
+	ConnectTimeout time.Duration // a connection that is not up after this is given up
+	MaxOpen        int           // calls that an instance may hold open; 0 is no limit
 }
 
 type settingsText struct {
@@ -22,8 +27,9 @@
 	Contract struct {
 		ColdFrom, ColdS, FallMultiple, MustAskInS float64
 	}
-	Discovery  string
-	FamilyInfo struct {
+	Discovery      string
+	FailureDomains []string
+	FamilyInfo     struct {
 		ClassCells    [][]int
 		HoldingS      []float64
 		Widths        []float64
@@ -33,15 +39,15 @@
 		Shape         string
 	}
 	Limits struct {
-		RetryAfter     bool
-		MaxAttempts    int
-		MaxRetryAfterS float64
+		RetryAfter                      bool
+		MaxAttempts, MaxOpen            int
+		MaxRetryAfterS, ConnectTimeoutS float64
 	}
 	OverShareWorth float64
 	PeersTotal     int
 	Profiles       []struct {
 		AimS, DeadlineS, LateValue, Value, WindowS float64
-		KeyScope, Repeat                           string
+		KeyScope, Name, Repeat                     string
 	}
 	Realms    []struct{ QuotaPerS float64 }
 	Telemetry struct {
@@ -72,6 +78,7 @@
 		return Setup{}, fmt.Errorf("settings: familyInfo.holdingS has %d values for %d classes",
 			len(t.FamilyInfo.HoldingS), len(t.Profiles))
 	}
+	var names []string
 	for i, p := range t.Profiles {
 		c := decide.Class{
 			Hold: Seconds(t.FamilyInfo.HoldingS[i]), Width: 1, Aim: Seconds(p.AimS),
@@ -83,6 +90,7 @@
 		c.Repeat = map[string]decide.Repeat{"keyed": decide.RepeatKeyed, "unsafe": decide.RepeatUnsafe}[p.Repeat]
 		c.Scope = map[string]decide.KeyScope{"zone": decide.ScopeZone, "cell": decide.ScopeExchange}[p.KeyScope]
 		s.Classes = append(s.Classes, c)
+		names = append(names, p.Name)
 	}
 	for _, r := range t.Realms {
 		s.Tenants = append(s.Tenants, decide.Tenant{Quota: r.QuotaPerS})
@@ -90,7 +98,8 @@
 	if err := s.Validate(); err != nil {
 		return Setup{}, fmt.Errorf("settings: %w", err)
 	}
-	return Setup{Settings: s, Fields: t.Telemetry.Fields}, nil
+	return Setup{Settings: s, Fields: t.Telemetry.Fields, Classes: names, Zones: t.FailureDomains,
+		ConnectTimeout: Seconds(t.Limits.ConnectTimeoutS), MaxOpen: t.Limits.MaxOpen}, nil
 }
 
 // Seconds turns the wire's seconds into a duration of whole microseconds; out of range is cut off.
@@ -118,26 +127,30 @@
 		if i >= int(st.N) {
 			break
 		}
-		v := float64(st.V[i])
-		if math.IsNaN(v) || math.IsInf(v, 0) || v < 0 {
-			continue
-		}
-		switch name {
-		case "idle":
-			r.Free = v
-		case "circuits":
-			r.Size = v
-		case "util":
-			r.Util = v
-		case "queue":
-			r.Queue = v
-		case "latency_ms":
-			r.Wait = v / 1000
-		case "max_rate":
-			r.MaxRate = v
-		case "reduce":
-			r.HoldBack = v
-		}
+		SetField(&r, name, float64(st.V[i]))
 	}
 	return r
 }
+
+// SetField puts one value of a load report under its name. The group's two figures go by either of their names.
+func SetField(r *decide.Report, name string, v float64) {
+	if math.IsNaN(v) || math.IsInf(v, 0) || v < 0 {
+		return
+	}
+	switch name {
+	case "idle", "x0":
+		r.Free = v
+	case "circuits", "x1":
+		r.Size = v
+	case "util":
+		r.Util = v
+	case "queue":
+		r.Queue = v
+	case "latency_ms":
+		r.Wait = v / 1000
+	case "max_rate":
+		r.MaxRate = v
+	case "reduce":
+		r.HoldBack = v
+	}
+}
