--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -185,3 +185,32 @@
 		Started: int64(binary.BigEndian.Uint64(b[19:])),
 	}, nil
 }
+
+// AppendFrame writes an event as the coordinator does.
+func AppendFrame(b []byte, ev Event) []byte {
+	kind := byte(kindChanges)
+	if ev.Whole {
+		kind = kindWhole
+	}
+	b = appendHead(b, len(ev.Entries)*recordSize, ev.Number, kind)
+	for _, e := range ev.Entries {
+		b = binary.BigEndian.AppendUint32(b, e.ID)
+		addr := e.Addr.Addr().As4()
+		b = append(b, addr[:]...)
+		b = binary.BigEndian.AppendUint16(b, e.Addr.Port())
+		b = append(b, byte(slices.Index(states[:], e.Phase)), byte(e.Zone), 0)
+		b = binary.BigEndian.AppendUint16(b, uint16(e.Number))
+		b = binary.BigEndian.AppendUint32(b, 1000)
+		b = binary.BigEndian.AppendUint64(b, uint64(e.Started))
+	}
+	return b
+}
+
+// AppendNothing writes the frame that comes each second.
+func AppendNothing(b []byte, last uint64) []byte { return appendHead(b, 0, last, kindNothing) }
+
+func appendHead(b []byte, payload int, number uint64, kind byte) []byte {
+	b = binary.BigEndian.AppendUint32(b, uint32(headSize+payload))
+	b = binary.BigEndian.AppendUint64(b, number)
+	return append(b, kind)
+}
--- /dev/null
+++ b/internal/coordinator/coordinator_test.go
@@ -0,0 +1,115 @@
+package coordinator
+
+import (
+	"encoding/binary"
+	"errors"
+	"strings"
+	"testing"
+
+	"pipitring/decide"
+
+	"github.com/google/go-cmp/cmp"
+	"net/netip"
+)
+
+func entry(id uint32, phase decide.Phase) Entry {
+	return Entry{ID: id, Addr: netip.MustParseAddrPort("127.0.0.9:5060"), Number: 2, Zone: 1, Phase: phase, Started: 1234567890123}
+}
+
+func TestFramesReadWhatWasWritten(t *testing.T) {
+	stream := append(AppendFrame(nil, Event{Number: 4, Entries: []Entry{entry(7, decide.Draining), entry(8, decide.Gone)}}), AppendNothing(nil, 4)...)
+	stream = append(stream, AppendFrame(nil, Event{Number: 5, Whole: true, Entries: []Entry{entry(9, decide.Ready)}})...)
+	for at := range stream {
+		f := Frames{Last: 3}
+		first, err1 := f.Push(stream[:at])
+		rest, err2 := f.Push(stream[at:])
+		got := append(first, rest...)
+		want := []Event{{Number: 4, Entries: []Entry{entry(7, decide.Draining), entry(8, decide.Gone)}},
+			{Number: 5, Whole: true, Entries: []Entry{entry(9, decide.Ready)}}}
+		if d := cmp.Diff(want, got, cmp.Comparer(func(a, b netip.AddrPort) bool { return a == b })); d != "" || err1 != nil || err2 != nil {
+			t.Fatalf("split at %d: %v %v\n%s", at, err1, err2, d)
+		}
+	}
+}
+
+func TestWhatIsToldTwiceCountsOnceAndGapsAreSeen(t *testing.T) {
+	f := Frames{Last: 3}
+	frame := func(n uint64) []byte {
+		return AppendFrame(nil, Event{Number: n, Entries: []Entry{entry(7, decide.Ready)}})
+	}
+	got, err := f.Push(append(frame(4), frame(4)...))
+	if len(got) != 1 || err != nil {
+		t.Fatalf("%d events, %v", len(got), err)
+	}
+	if got, err := f.Push(frame(6)); len(got) != 0 || !errors.Is(err, ErrGap) || f.Last != 4 {
+		t.Fatalf("%d events, %v, last %d", len(got), err, f.Last)
+	}
+	f.Reset()
+	f.Jump = true // the coordinator, asked again, has nothing between
+	if got, err := f.Push(frame(6)); len(got) != 1 || err != nil || f.Last != 6 || f.Jump {
+		t.Fatalf("%d events, %v, last %d", len(got), err, f.Last)
+	}
+}
+
+func TestABreakInAnEventGoesOnFromTheLastWhole(t *testing.T) {
+	f := Frames{Last: 3}
+	stream := append(AppendFrame(nil, Event{Number: 4}), AppendFrame(nil, Event{Number: 5, Entries: []Entry{entry(7, decide.Ready)}})...)
+	f.Push(stream[:len(stream)-5])
+	f.Reset()
+	if got := binary.BigEndian.Uint64(f.Hello()); got != 4 {
+		t.Fatalf("asks from %d, want 4", got)
+	}
+	if got, err := f.Push(AppendFrame(nil, Event{Number: 5})); len(got) != 1 || err != nil {
+		t.Fatalf("%d events, %v", len(got), err)
+	}
+}
+
+func TestImpossibleFramesAreErrors(t *testing.T) {
+	good := AppendFrame(nil, Event{Number: 4, Entries: []Entry{entry(7, decide.Ready)}})
+	for name, change := range map[string]func(b []byte) []byte{
+		"short":  func(b []byte) []byte { b[3] = 3; return b },
+		"huge":   func(b []byte) []byte { b[0] = 0x80; return b },
+		"kind":   func(b []byte) []byte { b[12] = 9; return b },
+		"record": func(b []byte) []byte { b[3]--; return b },
+		"state":  func(b []byte) []byte { b[13+10] = 3; return b },
+	} {
+		f := Frames{Last: 3}
+		if got, err := f.Push(change(append([]byte(nil), good...))); len(got) != 0 || !errors.Is(err, ErrFrame) {
+			t.Errorf("%s: %d events, %v", name, len(got), err)
+		}
+	}
+}
+
+func TestKnown(t *testing.T) {
+	text := `{"index":3,"updates":[{"index":2,"endpoints":{"reset":true,"instances":[{"instanceId":"s-00c41f7a","hostPort":"127.0.0.9:5060",
+	 "zone":"east","cell":2,"lifecycle":"Terminating","startedAtMs":5,"weight":1.0}]}}]}`
+	events, last, err := ParseKnown([]byte(text), []string{"west", "east"})
+	if err != nil || last != 3 || len(events) != 1 || !events[0].Whole || events[0].Entries[0].ID != 0xc41f7a ||
+		events[0].Entries[0].Phase != decide.Draining || events[0].Entries[0].Zone != 1 {
+		t.Fatalf("%+v, %d, %v", events, last, err)
+	}
+	for _, bad := range [][2]string{{"s-00c41f7a", "s-xx"}, {"127.0.0.9:5060", "nowhere"}, {"Terminating", "Tired"}} {
+		if _, _, err := ParseKnown([]byte(strings.Replace(text, bad[0], bad[1], 1)), nil); err == nil || !strings.Contains(err.Error(), "instances[0]") {
+			t.Errorf("%s: error %v", bad[1], err)
+		}
+	}
+}
+
+func FuzzFrames(f *testing.F) {
+	f.Add(AppendFrame(nil, Event{Number: 4, Entries: []Entry{entry(7, decide.Ready)}}), 9)
+	f.Fuzz(func(t *testing.T, stream []byte, at int) {
+		if at < 0 || at > len(stream) {
+			return
+		}
+		whole, cut := Frames{}, Frames{}
+		want, err := whole.Push(stream)
+		a, err1 := cut.Push(stream[:at])
+		var b []Event
+		if err1 == nil {
+			b, err1 = cut.Push(stream[at:])
+		}
+		if len(a)+len(b) != len(want) || !errors.Is(err1, err) || whole.Last != cut.Last {
+			t.Fatalf("whole: %d, %v; cut: %d, %v", len(want), err, len(a)+len(b), err1)
+		}
+	})
+}
--- /dev/null
+++ b/internal/jsonl/jsonl_test.go
@@ -0,0 +1,126 @@
+package jsonl
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+const ref = "9b1f03aa5c7e2d41"
+
+func TestParseReadsEveryPart(t *testing.T) {
+	m, err := Parse([]byte(`{"t":"new","ref":"9b1f03aa5c7e2d41","f":{"class":"voice","left":1500,"x":"a\nb"},"d":"v=0\r\n\u0041","c":34}`))
+	if err != nil || m.Type != New || m.Ref != ref || m.Cause != NoCircuit || string(m.Desc) != `"v=0\r\n\u0041"` {
+		t.Fatalf("%+v, %v", m, err)
+	}
+	if left, ok := m.Number("left", 0, 2000); !ok || left != 1500 || m.Fields["class"] != "voice" || m.Fields["x"] != "a\nb" {
+		t.Fatalf("fields %q", m.Fields)
+	}
+}
+
+func TestParseNamesWhatIsWrong(t *testing.T) {
+	line := func(s string) string { return fmt.Sprintf(s, ref) }
+	for _, c := range []struct {
+		line string
+		want error
+		ref  string
+	}{
+		{`{`, ErrLine, ""}, {`[1]`, ErrLine, ""}, {`null`, ErrLine, ""}, {``, ErrLine, ""}, {"{\"t\":\"\xff\"}", ErrLine, ""},
+		{line(`{"t":"new","ref":"%s"} x`), ErrLine, ""},
+		{line(`{"t":7,"ref":"%s"}`), ErrType, ref}, {line(`{"T":"new","ref":"%s"}`), ErrType, ref},
+		{`{"t":"new"}`, ErrRef, ""}, {`{"t":"new","ref":"9b1f"}`, ErrRef, ""}, {`{"t":"down","ref":12}`, ErrRef, ""},
+		{`{"t":"hb","ref":"9b1f"}`, ErrRef, ""}, {`{"t":"new","ref":"9b1f03aa5c7e2dxx"}`, ErrRef, ""},
+		{line(`{"t":"new","ref":"%s","f":[]}`), ErrFields, ref}, {line(`{"t":"new","ref":"%s","f":{"a":{}}}`), ErrFields, ref},
+		{line(`{"t":"new","ref":"%s","f":{"a":null}}`), ErrFields, ref}, {line(`{"t":"new","ref":"%s","f":{"a":true}}`), ErrFields, ref},
+		{line(`{"t":"down","ref":"%s","c":-1}`), ErrCause, ref}, {line(`{"t":"down","ref":"%s","c":1e2}`), ErrCause, ref},
+		{line(`{"t":"down","ref":"%s","c":"16"}`), ErrCause, ref}, {line(`{"t":"down","ref":"%s","c":128}`), ErrCause, ref},
+		{line(`{"t":"new","ref":"%s","d":5}`), ErrDesc, ref}, {line(`{"t":"new","ref":"%s","d":"\ud800"}`), ErrDesc, ref},
+		{strings.Repeat(" ", MaxLine+1), ErrLong, ""},
+		{`{"t":"hb","f":{},"c":0}`, nil, ""},
+	} {
+		m, err := Parse([]byte(c.line))
+		if !errors.Is(err, c.want) || m.Ref != c.ref {
+			t.Errorf("%.60q: ref %q, error %v; want %q, %v", c.line, m.Ref, err, c.ref, c.want)
+		}
+	}
+}
+
+func TestAppendedLinesAreThoseOfTheProtocol(t *testing.T) {
+	s := SetUp{Ref: ref, Class: Quote("voice"), Key: Quote("7f3a9c21e0b4d655"), Left: 1500*time.Millisecond + 400, Desc: []byte(`"d\r\n"`)}
+	got := string(s.Append(nil)) + string(AppendUp(nil, ref, []byte(`"x"`))) + string(AppendDown(nil, ref, Congestion, time.Second)) +
+		string(AppendDown(nil, ref, Normal, 0)) + string(AppendTested(nil, ref, true)) + string(AppendTested(nil, "", false))
+	want := `{"t":"new","ref":"9b1f03aa5c7e2d41","f":{"class":"voice","left":"1500","key":"7f3a9c21e0b4d655"},"d":"d\r\n"}
+{"t":"up","ref":"9b1f03aa5c7e2d41","f":{},"d":"x"}
+{"t":"down","ref":"9b1f03aa5c7e2d41","f":{"wait":"1000"},"c":42}
+{"t":"down","ref":"9b1f03aa5c7e2d41","f":{},"c":16}
+{"t":"hb_ok","ref":"9b1f03aa5c7e2d41","f":{},"c":1}
+{"t":"hb_ok","f":{},"c":0}
+`
+	if got != want {
+		t.Fatalf("got\n%s\nwant\n%s", got, want)
+	}
+}
+
+// cut pushes a stream in two pieces and lists the lines.
+func cut(t *testing.T, stream []byte, at int) (got []string, err error) {
+	t.Helper()
+	var l Lines
+	for _, b := range [][]byte{stream[:at], stream[at:]} {
+		if err = l.Push(b, func(line []byte) bool { got = append(got, string(line)); return true }); err != nil {
+			return got, err
+		}
+	}
+	return got, nil
+}
+
+func TestLinesAreTheSameHoweverTheyAreSplit(t *testing.T) {
+	stream := []byte("one\n\n" + strings.Repeat("x", 300) + "\nfour\npart")
+	want, _ := cut(t, stream, 0)
+	if len(want) != 4 {
+		t.Fatalf("lines %q", want)
+	}
+	for at := range stream {
+		if got, err := cut(t, stream, at); err != nil || !slices.Equal(got, want) {
+			t.Fatalf("split at %d: %q, %v", at, got, err)
+		}
+	}
+}
+
+func TestALineWithoutEndIsNotHeld(t *testing.T) {
+	var l Lines
+	none := func([]byte) bool { t.Fatal("no line is complete"); return false }
+	for range MaxLine / 1024 {
+		if err := l.Push(bytes.Repeat([]byte("x"), 1024), none); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := l.Push([]byte("x"), none); err != ErrLong || l.Partial() {
+		t.Fatalf("error %v, partial %v", err, l.Partial())
+	}
+}
+
+// FuzzParse: whatever is read can be written, and reads the same again.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(`{"t":"new","ref":"9b1f03aa5c7e2d41","f":{"class":"voice","left":"1500"},"d":"9d\r\n"}`))
+	f.Add([]byte(`{"t":"down","ref":"9b1f03aa5c7e2d41","f":{},"c":34}`))
+	f.Add([]byte(`{"t":"gauge","f":{"load":"x0:1;x1:2"}}`))
+	f.Fuzz(func(t *testing.T, line []byte) {
+		m, err := Parse(line)
+		if err != nil || m.Ref == "" || m.Desc == nil {
+			return
+		}
+		s := SetUp{Ref: m.Ref, Class: Quote(m.Fields["class"]), Left: time.Second, Desc: m.Desc}
+		out := s.Append(nil)
+		if bytes.IndexByte(out, '\n') != len(out)-1 {
+			t.Fatalf("more than one line: %q", out)
+		}
+		again, err := Parse(out[:len(out)-1])
+		if len(out) <= MaxLine && (err != nil || !bytes.Equal(again.Desc, m.Desc) || again.Ref != m.Ref) {
+			t.Fatalf("%q became %q: %v", line, out, err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/standin/platform.go
@@ -0,0 +1,226 @@
+package standin
+
+import (
+	"bufio"
+	"encoding/binary"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+
+	"pipitring/internal/coordinator"
+	"pipitring/internal/jsonl"
+)
+
+// JSONPeer is one end of the platform's protocol on TCP: a connection that reads and writes lines.
+type JSONPeer struct {
+	conn net.Conn
+	in   *bufio.Reader
+}
+
+// DialJSON connects as a caller does.
+func DialJSON(to netip.AddrPort) (*JSONPeer, error) {
+	conn, err := net.Dial("tcp4", to.String())
+	if err != nil {
+		return nil, err
+	}
+	return &JSONPeer{conn, bufio.NewReaderSize(conn, jsonl.MaxLine+1)}, nil
+}
+
+// Send writes bytes as they are.
+func (p *JSONPeer) Send(text string) error {
+	_, err := p.conn.Write([]byte(text))
+	return err
+}
+
+// Receive reads the next message.
+func (p *JSONPeer) Receive() (jsonl.Message, error) {
+	line, err := p.in.ReadSlice('\n')
+	if err != nil {
+		return jsonl.Message{}, err
+	}
+	return jsonl.Parse(line[:len(line)-1])
+}
+
+// Conn is the connection beneath.
+func (p *JSONPeer) Conn() net.Conn { return p.conn }
+
+// Close ends the connection.
+func (p *JSONPeer) Close() error { return p.conn.Close() }
+
+// Reset ends the connection as a dying process does.
+func (p *JSONPeer) Reset() error {
+	if tcp, ok := p.conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // if it cannot, the close is an ordinary one
+	}
+	return p.conn.Close()
+}
+
+// PlatformSwitch is a switch on the platform: it tells its group on each connection and hands set-ups and releases to On.
+type PlatformSwitch struct {
+	// On is called for every message, one connection at a time.
+	On func(p *JSONPeer, m jsonl.Message)
+
+	lis   net.Listener
+	mu    sync.Mutex
+	peers map[*JSONPeer]bool
+	done  sync.WaitGroup
+}
+
+// StartPlatformSwitch listens at an address; port 0 is any.
+func StartPlatformSwitch(at string, on func(p *JSONPeer, m jsonl.Message)) (*PlatformSwitch, error) {
+	lis, err := net.Listen("tcp4", at)
+	if err != nil {
+		return nil, err
+	}
+	s := &PlatformSwitch{On: on, lis: lis, peers: map[*JSONPeer]bool{}}
+	s.done.Go(func() { acceptAll(lis, s.serve, &s.done) })
+	return s, nil
+}
+
+func acceptAll(lis net.Listener, serve func(net.Conn), done *sync.WaitGroup) {
+	for {
+		conn, err := lis.Accept()
+		if err != nil {
+			return
+		}
+		done.Go(func() { serve(conn) })
+	}
+}
+
+func (s *PlatformSwitch) serve(conn net.Conn) {
+	p := &JSONPeer{conn, bufio.NewReaderSize(conn, jsonl.MaxLine+1)}
+	s.mu.Lock()
+	s.peers[p] = true
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		delete(s.peers, p)
+		s.mu.Unlock()
+		conn.Close()
+	}()
+	if p.Send(`{"t":"gauge","f":{"load":"x0:100;x1:100"}}`+"\n") != nil {
+		return
+	}
+	for {
+		m, err := p.Receive()
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.On(p, m)
+		s.mu.Unlock()
+	}
+}
+
+// Addr is where it listens.
+func (s *PlatformSwitch) Addr() netip.AddrPort { return s.lis.Addr().(*net.TCPAddr).AddrPort() }
+
+// Reset resets every connection; the switch goes on.
+func (s *PlatformSwitch) Reset() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for p := range s.peers {
+		_ = p.Reset()
+	}
+}
+
+// Kill ends the switch as its process's death does.
+func (s *PlatformSwitch) Kill() {
+	_ = s.lis.Close()
+	s.Reset()
+	s.done.Wait()
+}
+
+// PlatformCoordinator tells numbered events to whoever connects.
+type PlatformCoordinator struct {
+	lis    net.Listener
+	mu     sync.Mutex
+	events []coordinator.Event
+	conns  map[net.Conn]bool
+	asked  []uint64
+	done   sync.WaitGroup
+}
+
+// StartPlatformCoordinator listens on loopback. Its events are numbered from first on.
+func StartPlatformCoordinator() (*PlatformCoordinator, error) {
+	lis, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	c := &PlatformCoordinator{lis: lis, conns: map[net.Conn]bool{}}
+	c.done.Go(func() { acceptAll(lis, c.serve, &c.done) })
+	return c, nil
+}
+
+func (c *PlatformCoordinator) serve(conn net.Conn) {
+	defer conn.Close()
+	var last [8]byte
+	if _, err := conn.Read(last[:]); err != nil {
+		return
+	}
+	c.mu.Lock()
+	from := binary.BigEndian.Uint64(last[:])
+	c.asked = append(c.asked, from)
+	var b []byte
+	for _, ev := range c.events {
+		if ev.Number > from {
+			b = coordinator.AppendFrame(b, ev)
+		}
+	}
+	_, _ = conn.Write(coordinator.AppendNothing(b, from)) // a lost connection shows at the read below
+	c.conns[conn] = true
+	c.mu.Unlock()
+	_, _ = conn.Read(last[:])
+	c.mu.Lock()
+	delete(c.conns, conn)
+	c.mu.Unlock()
+}
+
+// Tell adds an event and sends it to all that are connected.
+func (c *PlatformCoordinator) Tell(ev coordinator.Event) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.events = append(c.events, ev)
+	for conn := range c.conns {
+		_, _ = conn.Write(coordinator.AppendFrame(nil, ev))
+	}
+}
+
+// Asked lists the numbers that connections began with.
+func (c *PlatformCoordinator) Asked() []uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]uint64(nil), c.asked...)
+}
+
+// Addr is where it listens.
+func (c *PlatformCoordinator) Addr() netip.AddrPort { return c.lis.Addr().(*net.TCPAddr).AddrPort() }
+
+// Stop ends it and its connections.
+func (c *PlatformCoordinator) Stop() {
+	_ = c.lis.Close()
+	c.mu.Lock()
+	for conn := range c.conns {
+		_ = conn.Close()
+	}
+	c.mu.Unlock()
+	c.done.Wait()
+}
+
+// PlatformConfig writes the configuration of a proxy of exchange 0; the switches are those of exchanges 1, 2 and so on.
+func PlatformConfig(listen, coord netip.AddrPort, sockets int, switches ...netip.AddrPort) []byte {
+	list := ""
+	for i, a := range switches {
+		if i > 0 {
+			list += ","
+		}
+		list += fmt.Sprintf(`{"instanceId":"s-%08x","hostPort":"%v","zone":"a","cell":%d,"lifecycle":"Ready","startedAtMs":0}`, i+1, a, i+1)
+	}
+	return fmt.Appendf(nil, `{"name":"n0","listen":"%v","seed":"1","coordinator":"%v",
+"limits":{"cores":1,"memory_mb":64,"sockets":%d},"known":{"index":1,"updates":[{"index":1,"endpoints":{"reset":true,"instances":[%s]}}]},
+"settings":{"contract":{"coldFrom":0.3,"coldS":9,"fallMultiple":3},"peersTotal":3,"failureDomains":["a"],
+"familyInfo":{"holdingS":[1],"widths":[1],"selfNo":0,"shape":"network","releaseGuardS":0.15,"resendS":0.125},
+"limits":{"maxAttempts":5,"connectTimeoutS":0.5,"retryAfter":true,"maxRetryAfterS":2},"telemetry":{"fields":["idle","circuits"]},
+"profiles":[{"name":"voice","aimS":4,"deadlineS":30,"value":1,"lateValue":0.25}]}}`, listen, coord, sockets, list)
+}
