Platform: releases lost with a spoilt connection are told again; what a switch adds is read

A trace of all lines showed the call's release missing: it was written to a connection that had just been closed as spoilt, in the moment before the switch saw the close, and the connection made at once in its place (switches.go, link.lost and far.keepUp) was open before that, so 'also on the next one opened' never came about. Ruled out: a release that was read and dropped (none in the trace). Now a connection is opened 150 ms after each loss while calls stand there, though others may be up. Seen beside it: a line with an unknown id and a description of replacement characters counted as unreadable (message.go, Parse) and broke the connection, cutting the good answer behind it. Only halves of surrogate pairs are refused now.

--- a/cmd/pipitring/platform.go
+++ b/cmd/pipitring/platform.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
@@ -19,12 +20,28 @@
 const platformLinesPerSecond = 20 // of one kind: the log costs the proxy's own core
 
 func platformCommand() *cobra.Command {
-	return &cobra.Command{Use: "platform", Short: "Run as a signalling proxy of the users' platform, told by NODE_CONFIG",
-		Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error { return servePlatform(cmd.Context()) }}
+	var trace bool
+	c := &cobra.Command{Use: "platform", Short: "Run as a signalling proxy of the users' platform, told by NODE_CONFIG",
+		Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error { return servePlatform(cmd.Context(), trace) }}
+	c.Flags().BoolVar(&trace, "trace", false, "write all that crosses the sockets to standard error")
+	return c
+}
+
+// writeTrace writes what crossed a socket: seconds since the start, connection, direction, bytes.
+func writeTrace(at time.Duration, id platform.Conn, read bool, b []byte) {
+	way := '>'
+	if read {
+		way = '<'
+	}
+	fmt.Fprintf(os.Stderr, "%.6f %d %c %q\n", at.Seconds(), id, way, b)
 }
 
 // servePlatform runs one proxy: SIGTERM lets it end once nothing is open, SIGHUP rereads the configuration.
-func servePlatform(ctx context.Context) error {
+func servePlatform(ctx context.Context, trace bool) error {
+	var each runtime.Trace
+	if trace {
+		each = writeTrace
+	}
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	defer signal.Stop(hup)
@@ -41,7 +58,7 @@
 		return err
 	}
 	runtime.SetLimits(cfg)
-	p, err := runtime.StartPlatform(cfg, log)
+	p, err := runtime.StartPlatform(cfg, log, each)
 	if err != nil {
 		return err
 	}
--- a/internal/jsonl/jsonl_test.go
+++ b/internal/jsonl/jsonl_test.go
@@ -39,6 +39,7 @@
 		{line(`{"t":"down","ref":"%s","c":-1}`), ErrCause, ref}, {line(`{"t":"down","ref":"%s","c":1e2}`), ErrCause, ref},
 		{line(`{"t":"down","ref":"%s","c":"16"}`), ErrCause, ref}, {line(`{"t":"down","ref":"%s","c":128}`), ErrCause, ref},
 		{line(`{"t":"new","ref":"%s","d":5}`), ErrDesc, ref}, {line(`{"t":"new","ref":"%s","d":"\ud800"}`), ErrDesc, ref},
+		{line(`{"t":"up","ref":"%s","d":"\ufffd ` + "\ufffd" + `"}`), nil, ref}, {line(`{"t":"up","ref":"%s","d":"\ufffd\udc00"}`), ErrDesc, ref},
 		{strings.Repeat(" ", MaxLine+1), ErrLong, ""},
 		{`{"t":"hb","f":{},"c":0}`, nil, ""},
 	} {
--- a/internal/jsonl/message.go
+++ b/internal/jsonl/message.go
@@ -97,15 +97,22 @@
 	}
 	if d := raw["d"]; d != nil {
 		s, ok := text(d)
-		// What decodes to the replacement character may have been something that cannot be written again.
-		if !ok || strings.ContainsRune(s, utf8.RuneError) {
-			return m, ErrDesc
+		if !ok || strings.Count(s, replacement) > replacements(d) {
+			return m, ErrDesc // half of a surrogate pair: not everyone can read it
 		}
 		m.Desc = bytes.Clone(bytes.TrimSpace(d))
 	}
 	return m, nil
 }
 
+const replacement = string(utf8.RuneError)
+
+// replacements counts the replacement characters that a JSON string holds as such. More of them when it is read stand
+// for what no text can hold.
+func replacements(raw []byte) int {
+	return bytes.Count(raw, []byte(replacement)) + bytes.Count(bytes.ToLower(raw), []byte(`\ufffd`))
+}
+
 func (m *Message) fields(raw json.RawMessage) error {
 	if raw == nil {
 		return nil
--- a/internal/platform/calls.go
+++ b/internal/platform/calls.go
@@ -203,6 +203,7 @@
 		delete(a.on.out, k.ref)
 	}
 	k.out = nil
+	c.Stats.Ends[e.Outcome]++
 	e.Call, e.Attempt, e.Exchange, e.Took = k.id, a.no, a.to.id, c.now-a.began
 	c.feed(e)
 }
--- a/internal/platform/core.go
+++ b/internal/platform/core.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"fmt"
 	"net/netip"
 	"time"
 
@@ -70,9 +71,27 @@
 type Stats struct {
 	Calls, Answered, Refused, Failed, Left uint64
 	Attempts                               uint64
+	Ends                                   [decide.NotSent + 1]uint64 // of attempts before an answer, by outcome
 	BadCallers, BadSwitches, TurnedAway    uint64
 }
 
+// reportEvery is how often the log gets a line of counts and one of what is believed of each far end.
+const reportEvery = 5 * time.Second
+
+// reportLine writes to the log what was done since the start, and what the module holds true now.
+func (c *Core) reportLine() {
+	c.after(reportEvery, c.reportLine)
+	s := &c.Stats
+	c.note(fmt.Sprintf("calls %d: answered %d, refused %d, failed %d, left %d; open %d, held %d, known %d; attempts %d, ended %v; "+
+		"callers' connections %d, bad %d, turned away %d; switches' connections %d, bad %d", s.Calls, s.Answered, s.Refused, s.Failed,
+		s.Left, c.open, c.ctl.Held(), len(c.calls), s.Attempts, s.Ends, len(c.callers), s.BadCallers, s.TurnedAway, len(c.links), s.BadSwitches))
+	text := "believed:"
+	for _, b := range c.ctl.Beliefs(c.moduleTime()) {
+		text += " [" + b.String() + "]"
+	}
+	c.note(text)
+}
+
 // Core is the state of one proxy. All times are since its start; it is not safe for concurrent use.
 type Core struct {
 	Stats Stats
@@ -131,6 +150,7 @@
 	c.coord.begin(c, cfg.Last)
 	c.keeper.Value = c.keepHouse
 	c.queue.Set(&c.keeper, houseKeeping)
+	c.after(reportEvery, c.reportLine)
 	return c
 }
 
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -247,6 +247,40 @@
 	return p
 }
 
+// TestAReleaseThatALostConnectionTookAlong: it comes again on the next connection that is opened, so one is, though
+// another is up.
+func TestAReleaseThatALostConnectionTookAlong(t *testing.T) {
+	b := upBed(t)
+	p := standAt1(b)
+	lose := func(bring string) (dials []Dial) {
+		first := b.switches[1]
+		b.Receive(b.at, first, []byte("\x00 noise\n"+bring))
+		dials = b.dialled()
+		if !b.closed[first] {
+			t.Fatal("a spoilt connection stays")
+		}
+		return dials
+	}
+	b.connect(lose("")[0])
+	b.pass(lossSeen)
+	d := b.dialled()
+	if len(d) != 1 {
+		t.Fatalf("%d connections asked for after a loss", len(d))
+	}
+	b.connect(d[0]) // two are up now
+	if d := lose(down(1, 16, "") + "\n"); len(d) != 0 {
+		t.Fatalf("%d connections asked for before the switch can have seen the loss", len(d))
+	}
+	b.pass(lossSeen)
+	if d = b.dialled(); len(d) != 1 {
+		t.Fatalf("%d connections asked for after the loss of one of two", len(d))
+	}
+	b.connect(d[0])
+	b.want(p)
+	b.send(d[0].Conn, down(1, 16, ""))
+	b.want(p, "down 1 16")
+}
+
 func TestCallsAtADeadProcessAreOver(t *testing.T) {
 	b := upBed(t)
 	p := standAt1(b)
--- a/internal/platform/switches.go
+++ b/internal/platform/switches.go
@@ -25,7 +25,11 @@
 	// A machine that vanished says nothing. Where something is at stake and nothing was heard for quietFor, a new
 	// connection proves life; where none comes up for vanishedFor, its calls are over.
 	vanishedFor = 5 * time.Second
-	mostUnsent  = 4096 // releases that wait for a connection
+	// A switch tells a release also on the next connection that is opened. What it wrote before it saw the loss of one
+	// is told only by a connection opened after that, so one is made this long after a loss.
+	lossSeen    = 150 * time.Millisecond
+	spreadLinks = maxLinks - 1 // the last one is for that
+	mostUnsent  = 4096         // releases that wait for a connection
 )
 
 // far is one switch on the list: its process, known by its id, not by its address.
@@ -48,7 +52,9 @@
 	down      bool // the last dial failed
 	waiting   []*attempt
 	standing  int
-	unsent    []byte // releases that wait for a connection
+	unsent    []byte        // releases that wait for a connection
+	again     time.Duration // a connection opened from then on tells again what a lost one took along; 0 is none owed
+	dialledAt time.Duration
 }
 
 // link is one connection to a switch.
@@ -78,7 +84,7 @@
 			best = l
 		}
 	}
-	if best != nil && len(best.out) >= spreadOver {
+	if best != nil && len(best.out) >= spreadOver && len(f.links) < spreadLinks {
 		f.connect()
 	}
 	return best
@@ -93,13 +99,16 @@
 	if wait <= 0 {
 		wait = linkWait
 	}
+	f.dialledAt = f.core.now
 	f.dialling = f.core.dial(f.addr, wait)
 	f.core.links[f.dialling] = &link{id: f.dialling, to: f, out: map[string]*attempt{}}
 }
 
-// keepUp sees that there is a connection where one is wanted.
+// keepUp sees that there is a connection where one is wanted, and after a loss a new one while calls stand, though
+// others may be up.
 func (f *far) keepUp() {
-	if len(f.links) == 0 && !f.retry && f.wanted() && f.phase != decide.Gone && !f.replaced {
+	want := len(f.links) == 0 && f.wanted() || f.again != 0 && f.core.now >= f.again && f.standing > 0
+	if want && !f.retry && f.phase != decide.Gone && !f.replaced {
 		f.connect()
 	}
 }
@@ -107,6 +116,9 @@
 // up takes a connection that was made.
 func (f *far) up(l *link) {
 	f.dialling, f.pause, f.down = 0, 0, false
+	if f.dialledAt >= f.again {
+		f.again = 0
+	}
 	f.heard = f.core.now
 	f.links = append(f.links, l)
 	if len(f.unsent) > 0 {
@@ -118,6 +130,7 @@
 	for _, a := range waiting {
 		f.core.send(a, l)
 	}
+	f.keepUp()
 }
 
 // notUp takes in that no connection came up. Refused, the process is dead, and its calls with it.
@@ -174,6 +187,8 @@
 	f := l.to
 	delete(f.core.links, l.id)
 	f.links = slices.DeleteFunc(f.links, func(o *link) bool { return o == l })
+	f.again = f.core.now + lossSeen
+	f.core.after(lossSeen, f.keepUp)
 	outs := make([]*attempt, 0, len(l.out))
 	for _, a := range l.out {
 		outs = append(outs, a)
--- a/internal/runtime/platform.go
+++ b/internal/runtime/platform.go
@@ -49,8 +49,13 @@
 	side     sync.WaitGroup // dials
 	cancel   context.CancelFunc
 	ctx      context.Context
+	trace    Trace
 }
 
+// Trace gets all that crosses the sockets: the time since the start, the connection, whether it was read, the bytes.
+// A nil one is none.
+type Trace func(at time.Duration, id platform.Conn, read bool, b []byte)
+
 // end is what a connection carries along.
 type end struct {
 	id     platform.Conn
@@ -70,8 +75,8 @@
 }
 
 // StartPlatform listens and serves until Stop, or until Tell told the core to end and it has nothing left to do.
-func StartPlatform(cfg *platform.Config, log *zap.Logger) (*Platform, error) {
-	p := &Platform{log: log, cfg: cfg, conns: map[platform.Conn]gnet.Conn{}, ready: make(chan struct{}), done: make(chan struct{})}
+func StartPlatform(cfg *platform.Config, log *zap.Logger, trace Trace) (*Platform, error) {
+	p := &Platform{log: log, cfg: cfg, trace: trace, conns: map[platform.Conn]gnet.Conn{}, ready: make(chan struct{}), done: make(chan struct{})}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	p.wake = time.AfterFunc(time.Hour, p.fire)
 	p.wake.Stop()
@@ -136,7 +141,11 @@
 		}
 		return gnet.None
 	}
-	p.core.Receive(p.now(), e.id, b)
+	now := p.now()
+	if p.trace != nil {
+		p.trace(now, e.id, true, b)
+	}
+	p.core.Receive(now, e.id, b)
 	p.settle()
 	return gnet.None
 }
@@ -205,6 +214,9 @@
 		if c == nil {
 			return
 		}
+		if p.trace != nil {
+			p.trace(p.now(), o.Conn, false, o.Bytes)
+		}
 		if _, err := c.Write(o.Bytes); err == nil && c.OutboundBuffered() > unread {
 			_ = c.Close() // OnClose follows
 		}
--- a/internal/runtime/platform_test.go
+++ b/internal/runtime/platform_test.go
@@ -76,7 +76,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if s.proxy, err = StartPlatform(cfg, zap.NewNop()); err != nil {
+	if s.proxy, err = StartPlatform(cfg, zap.NewNop(), nil); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = s.proxy.Stop() })
