Platform: calls at a switch that closed its connections and takes no new one are over at once

The connection had been closed by the far end and new ones did not come up without being refused (switches.go, far.notUp took only a refusal as proof). A machine that vanished leaves its connections open, so an end that was closed from there tells the two apart.

--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -282,18 +282,20 @@
 }
 
 func TestCallsAtADeadProcessAreOver(t *testing.T) {
-	b := upBed(t)
-	p := standAt1(b)
-	b.Closed(b.at, b.switches[1])
-	d := b.dialled()
-	if len(d) != 1 {
-		t.Fatalf("%d connections asked for", len(d))
+	for _, why := range []DialError{Refused, Silent} {
+		b := upBed(t)
+		p := standAt1(b)
+		b.Closed(b.at, b.switches[1])
+		d := b.dialled()
+		if len(d) != 1 {
+			t.Fatalf("%d connections asked for", len(d))
+		}
+		b.want(p) // a reset alone ends no standing call
+		b.NotConnected(b.at, d[0].Conn, why)
+		b.take()
+		b.want(p, "down 1 41")
+		b.quiet()
 	}
-	b.want(p) // a reset alone ends no standing call
-	b.NotConnected(b.at, d[0].Conn, Refused)
-	b.take()
-	b.want(p, "down 1 41")
-	b.quiet()
 }
 
 func TestCallsAtAVanishedMachineAreOver(t *testing.T) {
--- a/internal/platform/switches.go
+++ b/internal/platform/switches.go
@@ -50,6 +50,7 @@
 	probed    time.Duration
 	heardFrom bool
 	down      bool // the last dial failed
+	broken    bool // the far end closed or reset the last connection
 	waiting   []*attempt
 	standing  int
 	unsent    []byte        // releases that wait for a connection
@@ -115,7 +116,7 @@
 
 // up takes a connection that was made.
 func (f *far) up(l *link) {
-	f.dialling, f.pause, f.down = 0, 0, false
+	f.dialling, f.pause, f.down, f.broken = 0, 0, false, false
 	if f.dialledAt >= f.again {
 		f.again = 0
 	}
@@ -133,7 +134,8 @@
 	f.keepUp()
 }
 
-// notUp takes in that no connection came up. Refused, the process is dead, and its calls with it.
+// notUp takes in that no connection came up. Refused, the process is dead, and its calls with it; so it is where it
+// ended its last connection and takes no new one. A machine that vanished leaves its connections open.
 func (f *far) notUp(l *link, why DialError) {
 	f.dialling, f.down = 0, true
 	delete(f.core.links, l.id)
@@ -142,7 +144,7 @@
 	for _, a := range waiting {
 		f.core.ended(a, decide.Ended{Outcome: decide.Unreachable, Report: decide.NoReport})
 	}
-	if why == Refused && len(f.links) == 0 {
+	if len(f.links) == 0 && (why == Refused || f.broken) {
 		f.cutAll()
 	}
 	f.pause = min(max(2*f.pause, linkPause), linkPauseMax)
@@ -478,6 +480,7 @@
 	if p := c.callers[id]; p != nil {
 		p.lost()
 	} else if l := c.links[id]; l != nil {
+		l.to.broken = true
 		l.lost()
 	} else if id == c.coord.conn {
 		c.coord.lost()
