Platform: a connection to a switch that falls silent is found out and left

The log's beliefs showed one proxy at 'trials only' towards one switch (expected 927 ms, 9 time-outs running) while the other proxies had 10 ms to the same switch. Checked and ruled out: reports of groups (as on the sockets), late answers (a later one overtakes them), slow processors (others were answered at once). An answer had stopped short and left its connection open; set-ups went on being put on it (switches.go, far.pick knew only how many were out), each timed out, and the module was right to believe the worst. A set-up changes the group's state, which is told at once on every connection: one that brings no whole line for 200 ms after that is passed over while another is opened, and closed once the other speaks; a line that stops short for 200 ms closes it. A hung switch, silent on all of them, keeps them.

--- a/internal/platform/calls.go
+++ b/internal/platform/calls.go
@@ -163,6 +163,7 @@
 	l.out[k.ref] = a
 	s := jsonl.SetUp{Ref: k.ref, Class: c.quoted[k.class], Key: k.key, Left: a.limit - c.now, Desc: k.desc}
 	c.line(l.id, s.Append)
+	l.expect()
 	a.timer.Value = func() { c.timedOut(a) }
 	c.queue.Set(&a.timer, a.limit)
 }
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -238,6 +238,54 @@
 	}
 }
 
+const gauge = `{"t":"gauge","f":{"load":"idle:9;circuits:10"}}`
+
+// TestAConnectionThatFallsSilentIsLeft: an answer stops short or nothing comes, and the connection stays open.
+func TestAConnectionThatFallsSilentIsLeft(t *testing.T) {
+	for name, short := range map[string]string{"an answer stops short": up(1)[:30], "nothing comes": ""} {
+		b := upBed(t)
+		p, old := b.accept(), b.switches[1]
+		b.send(p, setUp(1, 1, ""))
+		b.Receive(b.at, old, []byte(short))
+		b.pass(deafAfter + 10*ms)
+		d := b.dialled()
+		if len(d) != 1 {
+			t.Fatalf("%s: %d connections asked for", name, len(d))
+		}
+		b.connect(d[0])
+		b.pass(deafProof)
+		if !b.closed[old] {
+			t.Fatalf("%s: the silent connection stays", name)
+		}
+		b.want(p, "down 1 42")
+		b.send(p, setUp(2, 1, ""))
+		b.want(b.switches[1], "new 2")
+		b.send(b.switches[1], up(2))
+		b.want(p, "up 2")
+	}
+}
+
+// TestAHungSwitchKeepsItsConnections: all fall silent together, and speak again together.
+func TestAHungSwitchKeepsItsConnections(t *testing.T) {
+	b := upBed(t)
+	p, old := b.accept(), b.switches[1]
+	b.send(p, setUp(1, 1, ""))
+	b.pass(deafAfter)
+	d := b.dialled()
+	if len(d) != 1 {
+		t.Fatalf("%d connections asked for", len(d))
+	}
+	b.Connected(b.at, d[0].Conn) // its machine takes it, the process says nothing
+	b.pass(500 * ms)
+	b.send(d[0].Conn, gauge)
+	b.send(old, gauge, up(1))
+	b.pass(deafProof)
+	b.want(p, "up 1")
+	if b.closed[old] {
+		t.Fatal("a connection that speaks again was closed")
+	}
+}
+
 // standAt1 brings a call up that stands at switch 1.
 func standAt1(b *bed) (p Conn) {
 	p = b.accept()
--- a/internal/platform/switches.go
+++ b/internal/platform/switches.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"iter"
 	"net/netip"
 	"slices"
@@ -12,6 +13,7 @@
 	"pipitring/decide"
 	"pipitring/internal/coordinator"
 	"pipitring/internal/jsonl"
+	"pipitring/internal/timers"
 	"pipitring/internal/wire"
 )
 
@@ -29,7 +31,11 @@
 	// is told only by a connection opened after that, so one is made this long after a loss.
 	lossSeen    = 150 * time.Millisecond
 	spreadLinks = maxLinks - 1 // the last one is for that
-	mostUnsent  = 4096         // releases that wait for a connection
+	// A set-up changes the group's state, which is told at once on every connection, and so is it on a new one. One
+	// that brings no whole line for so long after it should, while another does, is of no further use.
+	deafAfter  = 200 * time.Millisecond
+	deafProof  = 50 * time.Millisecond // and this is left to it when another one speaks: both may have been held up
+	mostUnsent = 4096                  // releases that wait for a connection
 )
 
 // far is one switch on the list: its process, known by its id, not by its address.
@@ -65,8 +71,57 @@
 	lines jsonl.Lines
 	out   map[string]*attempt // set-ups out on it
 	ended bool
+
+	owes  time.Duration // it should have brought a line since then; 0 is owing nothing
+	deaf  bool          // and has not for long
+	check timers.Entry[func()]
+}
+
+// expect notes that a line should come on a connection.
+func (l *link) expect() {
+	if l.owes != 0 || l.ended {
+		return
+	}
+	l.owes = max(1, l.to.core.now)
+	if !l.check.Running() {
+		l.to.core.queue.Set(&l.check, l.owes+deafAfter)
+	}
 }
 
+// overdue looks whether what should have come has. A line that stops short is never continued.
+func (l *link) overdue() {
+	c := l.to.core
+	switch {
+	case l.owes == 0:
+	case c.now < l.owes+deafAfter:
+		c.queue.Set(&l.check, l.owes+deafAfter)
+	case l.lines.Partial():
+		l.spoil(errStopped)
+	case !l.deaf:
+		l.deaf = true
+		l.to.connect()
+	}
+}
+
+// spoke notes that a whole line came on a connection: others that should have spoken and did not are of no use.
+func (l *link) spoke() {
+	l.owes, l.deaf = 0, false
+	for _, o := range l.to.links {
+		if o.deaf {
+			l.to.core.after(deafProof, func() {
+				if o.deaf && !o.ended {
+					o.spoil(errDeaf)
+				}
+			})
+		}
+	}
+}
+
+var (
+	errStopped = errors.New("a line stopped short")
+	errDeaf    = errors.New("nothing came while another connection spoke")
+)
+
 func (l *link) down(ref string, cause int) {
 	l.to.core.line(l.id, func(b []byte) []byte { return jsonl.AppendDown(b, ref, cause, 0) })
 }
@@ -81,7 +136,7 @@
 // connection cuts all that is out on it.
 func (f *far) pick() (best *link) {
 	for _, l := range f.links {
-		if best == nil || len(l.out) < len(best.out) {
+		if best == nil || best.deaf && !l.deaf || best.deaf == l.deaf && len(l.out) < len(best.out) {
 			best = l
 		}
 	}
@@ -102,7 +157,9 @@
 	}
 	f.dialledAt = f.core.now
 	f.dialling = f.core.dial(f.addr, wait)
-	f.core.links[f.dialling] = &link{id: f.dialling, to: f, out: map[string]*attempt{}}
+	l := &link{id: f.dialling, to: f, out: map[string]*attempt{}}
+	l.check.Value = l.overdue
+	f.core.links[l.id] = l
 }
 
 // keepUp sees that there is a connection where one is wanted, and after a loss a new one while calls stand, though
@@ -122,6 +179,7 @@
 	}
 	f.heard = f.core.now
 	f.links = append(f.links, l)
+	l.expect() // its first report
 	if len(f.unsent) > 0 {
 		f.core.line(l.id, func(b []byte) []byte { return append(b, f.unsent...) })
 		f.unsent = nil
@@ -187,6 +245,7 @@
 	}
 	l.ended = true
 	f := l.to
+	f.core.queue.Stop(&l.check)
 	delete(f.core.links, l.id)
 	f.links = slices.DeleteFunc(f.links, func(o *link) bool { return o == l })
 	f.again = f.core.now + lossSeen
@@ -260,11 +319,16 @@
 			l.spoil(err)
 			return false
 		}
+		l.spoke()
 		l.message(&m)
 		return !l.ended
 	})
-	if err != nil && !l.ended {
+	switch {
+	case l.ended:
+	case err != nil:
 		l.spoil(err)
+	case l.lines.Partial():
+		l.expect()
 	}
 }
 
@@ -411,6 +475,7 @@
 	f.links = nil
 	for _, l := range links {
 		l.ended = true
+		c.queue.Stop(&l.check)
 		delete(c.links, l.id)
 		c.close(l.id, false)
 	}
