Platform: releases reach callers, not strangers; silent connections are found beside others

The trace of all lines showed its release read and written, to a stranger's connection: the call's own had been closed by us over the budget of descriptors (callers.go, Accept: an idle connection with standing calls gave way to a flood), and tellCaller took the newest connection that had asked for anything. Connections with standing calls now give way last and are not closed as idle; without the own one, the release goes where most set-ups were answered. Found beside it: a connection to a switch on which nothing is out could fall silent unnoticed and take releases along; since a change of the group is told on all connections, one that brings nothing for 200 ms after another did is found out, and a single quiet one gets a second beside it while calls stand. Outputs keep the order in which they came about, which the property test had wrongly taken for granted. A caller that leaves within 20 ms of its end has timed out; answers leave 5 ms before the end, as calls with 70 ms left lost 20 of them.

--- a/cmd/pipitring/platform.go
+++ b/cmd/pipitring/platform.go
@@ -27,13 +27,11 @@
 	return c
 }
 
-// writeTrace writes what crossed a socket: seconds since the start, connection, direction, bytes.
-func writeTrace(at time.Duration, id platform.Conn, read bool, b []byte) {
-	way := '>'
-	if read {
-		way = '<'
-	}
-	fmt.Fprintf(os.Stderr, "%.6f %d %c %q\n", at.Seconds(), id, way, b)
+const traced = 1000 // bytes of one piece that a trace shows
+
+// writeTrace writes what happened on a socket: seconds since the start, connection, what, bytes.
+func writeTrace(at time.Duration, id platform.Conn, what string, b []byte) {
+	fmt.Fprintf(os.Stderr, "%.6f %d %s %q\n", at.Seconds(), id, what, b[:min(len(b), traced)])
 }
 
 // servePlatform runs one proxy: SIGTERM lets it end once nothing is open, SIGHUP rereads the configuration.
--- a/internal/platform/bed_test.go
+++ b/internal/platform/bed_test.go
@@ -29,6 +29,11 @@
 	desc = `"v=0\r\nc=IN IP4 127.0.0.1\u0020\r\n"`
 )
 
+type wireLine struct {
+	to   Conn
+	line string
+}
+
 // bed is a proxy whose every byte is seen: lines by connection, connections that it asked for and that it closed.
 type bed struct {
 	t interface {
@@ -38,6 +43,7 @@
 	*Core
 	at       time.Duration
 	lines    map[Conn][]string
+	wire     []wireLine // the same lines, in the order in which they were written
 	dials    []Dial
 	closed   map[Conn]bool
 	exit     bool
@@ -99,7 +105,10 @@
 					b.t.Fatalf("bytes for %d after its close: %q", o.Conn, o.Bytes)
 				}
 				if o.Conn != b.coord || b.coord == 0 {
-					b.lines[o.Conn] = append(b.lines[o.Conn], strings.SplitAfter(strings.TrimSuffix(string(o.Bytes), "\n"), "\n")...)
+					for _, l := range strings.Split(strings.TrimSuffix(string(o.Bytes), "\n"), "\n") {
+						b.lines[o.Conn] = append(b.lines[o.Conn], l)
+						b.wire = append(b.wire, wireLine{o.Conn, l})
+					}
 				}
 			case Close:
 				b.closed[o.Conn] = true
@@ -145,7 +154,7 @@
 	b.t.Helper()
 	var out []jsonl.Message
 	for _, l := range b.lines[id] {
-		m, err := jsonl.Parse([]byte(strings.TrimSuffix(l, "\n")))
+		m, err := jsonl.Parse([]byte(l))
 		if err != nil {
 			b.t.Fatalf("the proxy wrote %q: %v", l, err)
 		}
--- a/internal/platform/callers.go
+++ b/internal/platform/callers.go
@@ -25,6 +25,8 @@
 	used   time.Duration // last time a set-up was open on it
 	asked  bool          // has sent something good
 	open   int           // set-ups owed an answer
+	stands int           // calls that stand, whose set-up came on it
+	served int           // set-ups that were answered
 	ended  bool
 }
 
@@ -44,13 +46,14 @@
 	return p.id
 }
 
-// leastUsed is the connection whose loss costs least: one that has been silent since it came, else one without an
-// open set-up, longest unused first, else the newest.
+// leastUsed is the connection whose loss costs least: one that has been silent since it came, else one without a call
+// that is open or stands, longest unused first, else the newest. A release finds its way without the connection of its
+// set-up only if the callers' other ones can be told from strangers'.
 func (c *Core) leastUsed() *caller {
 	var best *caller
 	rank := func(p *caller) int {
 		switch {
-		case p.open > 0:
+		case p.open > 0 || p.stands > 0:
 			return 2
 		case p.asked || c.now-p.opened < speakSoon:
 			return 1
@@ -77,7 +80,7 @@
 		if !p.asked || p.lines.Partial() {
 			limit = speakWithin
 		}
-		if p.open == 0 && c.now-p.used > limit {
+		if p.open == 0 && p.stands == 0 && c.now-p.used > limit {
 			gone = append(gone, p)
 		}
 	}
@@ -236,7 +239,11 @@
 	if k := c.calls[m.Ref]; k != nil {
 		switch {
 		case ok && o.isAt: // named again: it is held already
-			k.from = p
+			if k.standing {
+				k.from.stands--
+				k.from = p
+				p.stands++
+			}
 		case k.from == p && !k.standing:
 			// Both set-ups bear one reference, so one answer is all that can be told: the first call is given up
 			// and the failure ends them both.
@@ -256,8 +263,7 @@
 		return
 	}
 	p.asked, p.used = true, c.now
-	c.lastGood = p.id
-	c.sendHomeless()
+	c.sendHomeless(p)
 	if most := c.cfg.Setup.MaxOpen; most > 0 && c.open >= most {
 		c.Stats.Refused++
 		p.down(m.Ref, jsonl.Congestion, 0)
@@ -293,15 +299,12 @@
 	}
 }
 
-// tellCaller sends a line about a standing call: on its own connection, else on one that callers use, else on the
-// next such.
+// tellCaller sends a line about a standing call: on its own connection, else on the one that callers use most, else on
+// the next that asks for something.
 func (c *Core) tellCaller(k *call, cause int) {
 	to := k.from
-	if to == nil || to.ended {
-		to = c.callers[c.lastGood]
-	}
-	if to == nil {
-		to = c.anyCaller()
+	if to.ended {
+		to = c.mostServed()
 	}
 	if to != nil {
 		to.down(k.ref, cause, 0)
@@ -316,21 +319,22 @@
 	})
 }
 
-// anyCaller is the newest connection that has asked for something.
-func (c *Core) anyCaller() (best *caller) {
+// mostServed is the connection on which most set-ups were answered: strangers have none. Else it is any that has asked
+// for something.
+func (c *Core) mostServed() (best *caller) {
 	for _, p := range c.callers {
-		if p.asked && (best == nil || p.id > best.id) {
+		if p.asked && (best == nil || p.served > best.served || p.served == best.served && p.id > best.id) {
 			best = p
 		}
 	}
 	return best
 }
 
-func (c *Core) sendHomeless() {
+func (c *Core) sendHomeless(p *caller) {
 	if len(c.homeless) == 0 {
 		return
 	}
-	c.line(c.lastGood, func(b []byte) []byte {
+	c.line(p.id, func(b []byte) []byte {
 		for _, l := range c.homeless {
 			b = append(b, l...)
 		}
--- a/internal/platform/calls.go
+++ b/internal/platform/calls.go
@@ -88,24 +88,29 @@
 		k.from.down(k.ref, cause, wait)
 	}
 	if k.out != nil { // the module answers only between attempts; if ever not, none stays out
-		c.cancel(k.out)
+		c.cancel(k.out, decide.Cancelled)
 	}
 }
 
-// giveUp ends a call whose caller waits no longer. The attempt that is out is called off.
+// giveUp ends a call whose caller waits no longer. The attempt that is out is called off; one that was waited for to
+// the caller's end has timed out, which tells more of the switch.
 func (c *Core) giveUp(k *call) {
 	c.unowe(k)
 	c.forget(k)
 	c.feed(decide.CallerLeft{Call: k.id})
-	if k.out != nil {
-		c.cancel(k.out)
+	switch {
+	case k.out == nil:
+	case k.out.on != nil && c.now+clockSlack >= k.end:
+		c.cancel(k.out, decide.TimedOut)
+	default:
+		c.cancel(k.out, decide.Cancelled)
 	}
 }
 
-// cancel calls an attempt off and tells the module that it was.
-func (c *Core) cancel(a *attempt) {
+// cancel calls an attempt off and tells the module how it ended.
+func (c *Core) cancel(a *attempt, o decide.Outcome) {
 	c.withdraw(a)
-	c.ended(a, decide.Ended{Outcome: decide.Cancelled, Concluded: true, Report: decide.NoReport})
+	c.ended(a, decide.Ended{Outcome: o, Concluded: true, Report: decide.NoReport})
 }
 
 // openOn lists the calls that are owed an answer on a connection, oldest first.
@@ -218,6 +223,8 @@
 	c.unowe(k)
 	k.standing, k.at, k.on, k.desc, k.out = true, a.to, a.on, nil, nil
 	a.to.standing++
+	k.from.stands++
+	k.from.served++
 	k.from.core.line(k.from.id, func(b []byte) []byte { return jsonl.AppendUp(b, k.ref, desc) })
 	c.feed(decide.Standing{Call: k.id, Attempt: a.no, Exchange: a.to.id, Took: c.now - a.began})
 }
@@ -225,6 +232,8 @@
 // over ends a standing call and tells the module.
 func (c *Core) over(k *call, o decide.Outcome, r decide.Report) {
 	k.at.standing--
+	k.from.stands--
+	k.from.used = c.now
 	c.forget(k)
 	if k.id != 0 {
 		c.feed(decide.Ended{Call: k.id, Attempt: k.attempts - 1, Exchange: k.at.id, Outcome: o, Concluded: true, Report: r})
@@ -261,6 +270,7 @@
 	k := &call{ref: ref, from: p, class: o.Class, standing: true, at: to}
 	c.calls[ref] = k
 	to.standing++
+	p.stands++
 	k.timer.Value = func() { c.released(k, jsonl.Temporary, decide.NoReport) }
 	c.queue.Set(&k.timer, c.now+adoptedFor)
 	to.keepUp()
--- a/internal/platform/core.go
+++ b/internal/platform/core.go
@@ -58,7 +58,8 @@
 // Limits that no setting names.
 const (
 	readyWithin  = 1500 * time.Millisecond // a switch that says nothing does not hold up readiness longer
-	overlap      = 20 * time.Millisecond   // the proxy's answer is on its way this long before the caller gives up
+	overlap      = 5 * time.Millisecond    // the proxy's answer is on its way this long before the caller gives up
+	clockSlack   = 20 * time.Millisecond   // a caller that leaves so near its end waited its time: clocks and ways differ
 	moreComing   = 800 * time.Millisecond  // set-ups still come after SIGTERM
 	releaseFor   = 8 * time.Second         // a release that could not be sent is of no use after this
 	adoptedFor   = 10 * time.Minute        // a call named by 'at' that nobody ever ends is forgotten
@@ -104,8 +105,6 @@
 
 	outs     []Output
 	lastConn Conn
-	writes   map[Conn][]byte // gathered until Outputs is asked for
-	dirty    []Conn
 
 	pending []decide.Event
 	feeding bool
@@ -116,7 +115,6 @@
 	lastCall decide.CallID
 
 	callers  map[Conn]*caller
-	lastGood Conn     // of a caller that speaks well, the newest
 	homeless []string // lines for callers that have no connection
 	classes  map[string]int
 	quoted   [][]byte // names of the classes as JSON strings
@@ -139,7 +137,7 @@
 
 // New makes a proxy at time 0, which is wall on the wall's clock.
 func New(cfg *Config, wall time.Time) *Core {
-	c := &Core{cfg: cfg, wall: wall, ctl: decide.New(cfg.Setup.Settings, cfg.Seed), writes: map[Conn][]byte{},
+	c := &Core{cfg: cfg, wall: wall, ctl: decide.New(cfg.Setup.Settings, cfg.Seed),
 		calls: map[string]*call{}, byID: map[decide.CallID]*call{}, callers: map[Conn]*caller{}, classes: map[string]int{},
 		switches: map[decide.ExchangeID]*far{}, links: map[Conn]*link{}, early: map[string]early{}}
 	for i, name := range cfg.Setup.Classes {
@@ -172,37 +170,27 @@
 // tell takes the time in; it never goes back.
 func (c *Core) tell(now time.Duration) { c.now = max(c.now, now) }
 
-// Outputs takes what is to be done, in order; for one connection writes come before its close.
+// Outputs takes what is to be done, in the order in which it came about: what a switch is sent before a caller is told
+// leaves before.
 func (c *Core) Outputs() []Output {
-	for _, id := range c.dirty {
-		if b := c.writes[id]; b != nil {
-			c.outs = append(c.outs, Write{id, b})
-			delete(c.writes, id)
-		}
-	}
-	c.dirty = c.dirty[:0]
 	out := c.outs
 	c.outs = nil
 	return out
 }
 
-// line gathers bytes for a connection: the build function appends them.
+// line writes to a connection: the build function appends the bytes.
 func (c *Core) line(id Conn, build func(b []byte) []byte) {
-	b, ok := c.writes[id]
-	if !ok {
-		c.dirty = append(c.dirty, id)
+	if n := len(c.outs); n > 0 {
+		if w, ok := c.outs[n-1].(Write); ok && w.Conn == id {
+			c.outs[n-1] = Write{id, build(w.Bytes)}
+			return
+		}
 	}
-	c.writes[id] = build(b)
+	c.outs = append(c.outs, Write{id, build(nil)})
 }
 
 // close asks for a connection's end, behind what was written to it.
-func (c *Core) close(id Conn, gently bool) {
-	if b := c.writes[id]; b != nil {
-		c.outs = append(c.outs, Write{id, b})
-		delete(c.writes, id)
-	}
-	c.outs = append(c.outs, Close{id, gently})
-}
+func (c *Core) close(id Conn, gently bool) { c.outs = append(c.outs, Close{id, gently}) }
 
 func (c *Core) dial(to netip.AddrPort, wait time.Duration) Conn {
 	c.lastConn++
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -31,7 +31,7 @@
 	p, sw := b.accept(), b.switches[1]
 	b.send(p, setUp(1, 1, ""))
 	m := b.want(sw, "new 1")[0]
-	if string(m.Desc) != desc || len(m.Fields) != 3 || m.Fields["class"] != "voice" || m.Fields["key"] != "7f3a9c21e0b4d601" || m.Fields["left"] != "1480" {
+	if string(m.Desc) != desc || len(m.Fields) != 3 || m.Fields["class"] != "voice" || m.Fields["key"] != "7f3a9c21e0b4d601" || m.Fields["left"] != "1495" {
 		t.Fatalf("to the switch: %+v %s", m.Fields, m.Desc)
 	}
 	b.pass(30 * ms)
@@ -109,7 +109,7 @@
 	p := b.accept()
 	b.send(p, setUp(1, 1, ""))
 	b.want(b.switches[1], "new 1")
-	b.pass(1479 * ms)
+	b.pass(1494 * ms)
 	b.want(p)
 	b.pass(ms)
 	b.want(p, "down 1 41")
@@ -139,6 +139,23 @@
 	}
 }
 
+// TestACallerThatWaitedItsTimeHasTimedOut: whoever's clock is first, the module learns of a silent switch.
+func TestACallerThatWaitedItsTimeHasTimedOut(t *testing.T) {
+	for at, want := range map[time.Duration]decide.Outcome{1000 * ms: decide.Cancelled, 1490 * ms: decide.TimedOut} {
+		b := upBed(t)
+		p := b.accept()
+		b.send(p, setUp(1, 1, ""))
+		b.send(b.switches[1], gauge)
+		b.pass(at)
+		b.send(p, down(1, 16, ""))
+		b.want(b.switches[1], "new 1", "down 1 16")
+		if b.Stats.Ends[want] != 1 {
+			t.Errorf("left after %v: ends %v, want one of kind %d", at, b.Stats.Ends, want)
+		}
+		b.quiet()
+	}
+}
+
 func TestBadInputGetsAFailureOrACloseAndNothingReachesASwitch(t *testing.T) {
 	for _, c := range []struct {
 		line   string
@@ -215,6 +232,31 @@
 	}
 }
 
+// TestReleasesGoToCallersNotToStrangers: a flood of strangers that ask for calls takes neither a connection with standing
+// calls nor the release of one whose connection is gone.
+func TestReleasesGoToCallersNotToStrangers(t *testing.T) {
+	b := upBed(t)
+	usual, other := standAt1(b), b.accept()
+	for n := 0x11; n <= 0x13; n++ {
+		b.send(other, setUp(n, 1, ""))
+		b.send(b.switches[1], up(n), down(n, 16, ""))
+	}
+	b.want(other, "up 11", "down 11 16", "up 12", "down 12 16", "up 13", "down 13 16")
+	b.pass(idleFor)
+	b.send(other, setUp(0x14, 1, ""))
+	b.send(b.switches[1], up(0x14))
+	b.want(other, "up 14")
+	for n := range 2 * b.cfg.budget(3) {
+		b.send(b.accept(), setUp(1000+n, 9, ""))
+	}
+	if b.closed[usual] || b.closed[other] {
+		t.Fatal("a connection with a standing call gave way to strangers")
+	}
+	b.Closed(b.at, usual)
+	b.send(b.switches[1], down(1, 16, ""))
+	b.want(other, "down 1 16")
+}
+
 func TestWhatASwitchSpoilsIsCutAndStandingCallsAreNot(t *testing.T) {
 	for name, bad := range map[string]string{"noise": "\x00\x01 noise\n", "endless": strings.Repeat("y", jsonl.MaxLine+1),
 		"answer without a description": `{"t":"up","ref":"0000000000000002","f":{}}` + "\n"} {
@@ -265,6 +307,33 @@
 	}
 }
 
+// TestASilentConnectionIsFoundBesideOneThatSpeaks: nothing is out on it, but releases of what stands would be lost with it.
+func TestASilentConnectionIsFoundBesideOneThatSpeaks(t *testing.T) {
+	b := upBed(t)
+	p, old := standAt1(b), b.switches[1]
+	b.pass(quietFor + 2*houseKeeping)
+	d := b.dialled()
+	if len(d) != 1 {
+		t.Fatalf("%d connections asked for beside a single quiet one", len(d))
+	}
+	b.connect(d[0])
+	b.pass(deafAfter)
+	b.send(d[0].Conn, gauge)
+	b.pass(deafAfter + deafProof)
+	b.send(d[0].Conn, gauge)
+	b.pass(deafProof)
+	if !b.closed[old] || b.closed[d[0].Conn] {
+		t.Fatalf("the silent one closed: %v, the other: %v", b.closed[old], b.closed[d[0].Conn])
+	}
+	b.pass(lossSeen)
+	if d = b.dialled(); len(d) == 0 {
+		t.Fatal("no connection for the releases that were lost")
+	}
+	b.connect(d[0])
+	b.send(d[0].Conn, down(1, 16, ""))
+	b.want(p, "down 1 16")
+}
+
 // TestAHungSwitchKeepsItsConnections: all fall silent together, and speak again together.
 func TestAHungSwitchKeepsItsConnections(t *testing.T) {
 	b := upBed(t)
@@ -551,51 +620,51 @@
 	rapid.Check(t, func(t *rapid.T) {
 		b := upBed(t)
 		type seen struct {
-			from              Conn
-			left, up, down    bool
-			outAt             Conn // connection of the attempt that is out
-			attempts, offered int
+			from           Conn
+			left, up, down bool
+			outAt          Conn // connection of the attempt that is out
 		}
 		calls := map[string]*seen{}
 		callers := []Conn{b.accept(), b.accept()}
 		number, next, index := 0, uint64(2), 1
 		pump := func() {
 			b.take()
-			for id := range b.lines {
-				for _, m := range b.got(id) {
-					k := calls[m.Ref]
-					if k == nil {
-						t.Fatalf("a line about %s", m.Ref)
+			for _, w := range b.wire {
+				m, err := jsonl.Parse([]byte(w.line))
+				if err != nil {
+					t.Fatalf("the proxy wrote %q: %v", w.line, err)
+				}
+				id, k := w.to, calls[m.Ref]
+				if k == nil {
+					t.Fatalf("a line about %s", m.Ref)
+				}
+				isCaller := id == callers[0] || id == callers[1]
+				switch {
+				case m.Type == jsonl.New:
+					if k.outAt != 0 && b.links[k.outAt] != nil {
+						t.Fatalf("%s is out twice", m.Ref)
 					}
-					_, toSwitch := b.links[id]
-					isCaller := id == callers[0] || id == callers[1] || b.callers[id] != nil
-					switch {
-					case m.Type == jsonl.New:
-						if k.outAt != 0 && b.links[k.outAt] != nil {
-							t.Fatalf("%s is out twice", m.Ref)
-						}
-						if k.up || k.down || k.left {
-							t.Fatalf("%s goes out after its end", m.Ref)
-						}
-						k.outAt = id
-						k.attempts++
-					case isCaller && m.Type == jsonl.Up:
-						if k.up || k.down || k.left {
-							t.Fatalf("a second answer to %s", m.Ref)
-						}
-						k.up, k.outAt = true, 0
-					case isCaller && m.Type == jsonl.Down:
-						if k.down || k.left && !k.up {
-							t.Fatalf("a second end of %s", m.Ref)
-						}
-						k.down = true
-					case toSwitch && m.Type == jsonl.Down:
-						if k.outAt == id {
-							k.outAt = 0
-						}
+					if k.up || k.down || k.left {
+						t.Fatalf("%s goes out after its end", m.Ref)
+					}
+					k.outAt = id
+				case isCaller && m.Type == jsonl.Up:
+					if k.up || k.down || k.left {
+						t.Fatalf("a second answer to %s", m.Ref)
+					}
+					k.up, k.outAt = true, 0
+				case isCaller && m.Type == jsonl.Down:
+					if k.down || k.left && !k.up {
+						t.Fatalf("a second end of %s", m.Ref)
+					}
+					k.down = true
+				case !isCaller && m.Type == jsonl.Down:
+					if k.outAt == id {
+						k.outAt = 0
 					}
 				}
 			}
+			b.wire = b.wire[:0]
 		}
 		pump()
 		step := func(t *rapid.T) {
--- a/internal/platform/switches.go
+++ b/internal/platform/switches.go
@@ -23,9 +23,11 @@
 	linkPause    = 50 * time.Millisecond  // before a connection that did not come up is tried again, doubling
 	linkPauseMax = 800 * time.Millisecond // up to this
 	linkWait     = 500 * time.Millisecond // for a connection to come up, where no setting says
-	quietFor     = 1500 * time.Millisecond
-	// A machine that vanished says nothing. Where something is at stake and nothing was heard for quietFor, a new
-	// connection proves life; where none comes up for vanishedFor, its calls are over.
+	// A machine that vanished says nothing, and nor does a connection that is of no further use. Where calls stand and
+	// nothing was heard for quietFor on a single connection, or for silentFor on several, a new one proves life; where
+	// none comes up for vanishedFor, the calls are over.
+	quietFor    = 300 * time.Millisecond
+	silentFor   = 1500 * time.Millisecond
 	vanishedFor = 5 * time.Second
 	// A switch tells a release also on the next connection that is opened. What it wrote before it saw the loss of one
 	// is told only by a connection opened after that, so one is made this long after a loss.
@@ -103,16 +105,21 @@
 	}
 }
 
-// spoke notes that a whole line came on a connection: others that should have spoken and did not are of no use.
-func (l *link) spoke() {
+// spoke notes that a whole line came on a connection. A change of the group is told on all of them; those that should
+// have spoken long ago are of no use.
+func (l *link) spoke(group bool) {
 	l.owes, l.deaf = 0, false
 	for _, o := range l.to.links {
-		if o.deaf {
+		switch {
+		case o == l:
+		case o.deaf:
 			l.to.core.after(deafProof, func() {
 				if o.deaf && !o.ended {
 					o.spoil(errDeaf)
 				}
 			})
+		case group:
+			o.expect()
 		}
 	}
 }
@@ -299,7 +306,7 @@
 	case quiet > vanishedFor && f.down:
 		f.core.note("switch at " + f.addr.String() + " has vanished: its calls are over")
 		f.cutAll()
-	case quiet > quietFor && now-f.probed > quietFor:
+	case quiet > quietFor && len(f.links) == 1 || quiet > silentFor && now-f.probed > silentFor:
 		f.probed = now
 		if len(f.links) >= maxLinks {
 			idle := f.pick()
@@ -319,7 +326,7 @@
 			l.spoil(err)
 			return false
 		}
-		l.spoke()
+		l.spoke(m.Type == jsonl.Gauge)
 		l.message(&m)
 		return !l.ended
 	})
--- a/internal/runtime/platform.go
+++ b/internal/runtime/platform.go
@@ -52,9 +52,15 @@
 	trace    Trace
 }
 
-// Trace gets all that crosses the sockets: the time since the start, the connection, whether it was read, the bytes.
-// A nil one is none.
-type Trace func(at time.Duration, id platform.Conn, read bool, b []byte)
+// Trace gets all that crosses the sockets: the time since the start, the connection, what happened, and the bytes. A nil
+// one is none.
+type Trace func(at time.Duration, id platform.Conn, what string, b []byte)
+
+func (p *Platform) tell(id platform.Conn, what string, b []byte) {
+	if p.trace != nil {
+		p.trace(p.now(), id, what, b)
+	}
+}
 
 // end is what a connection carries along.
 type end struct {
@@ -121,6 +127,7 @@
 	}
 	if e, ok := c.Context().(*end); ok {
 		p.conns[e.id] = c
+		p.tell(e.id, "up", nil)
 		p.core.Connected(p.now(), e.id)
 	} else {
 		e := &end{id: p.core.Accept(p.now())}
@@ -141,11 +148,8 @@
 		}
 		return gnet.None
 	}
-	now := p.now()
-	if p.trace != nil {
-		p.trace(now, e.id, true, b)
-	}
-	p.core.Receive(now, e.id, b)
+	p.tell(e.id, "<", b)
+	p.core.Receive(p.now(), e.id, b)
 	p.settle()
 	return gnet.None
 }
@@ -161,6 +165,7 @@
 	}
 	if !e.over {
 		e.over = true
+		p.tell(e.id, "closed", nil)
 		delete(p.conns, e.id)
 		p.core.Closed(p.now(), e.id)
 		p.settle()
@@ -214,15 +219,14 @@
 		if c == nil {
 			return
 		}
-		if p.trace != nil {
-			p.trace(p.now(), o.Conn, false, o.Bytes)
-		}
+		p.tell(o.Conn, ">", o.Bytes)
 		if _, err := c.Write(o.Bytes); err == nil && c.OutboundBuffered() > unread {
 			_ = c.Close() // OnClose follows
 		}
 	case platform.Close:
 		p.close(o)
 	case platform.Dial:
+		p.tell(o.Conn, "dial", []byte(o.To.String()))
 		p.side.Go(func() { p.connect(o) })
 	case platform.Note:
 		p.log.Info(o.Text)
@@ -237,6 +241,7 @@
 	if c == nil {
 		return
 	}
+	p.tell(o.Conn, "close", nil)
 	delete(p.conns, o.Conn)
 	e := c.Context().(*end)
 	e.over = true
@@ -269,7 +274,10 @@
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		why = platform.Refused
 	}
-	p.do(func() { p.core.NotConnected(p.now(), o.Conn, why) })
+	p.do(func() {
+		p.tell(o.Conn, "not up", []byte(err.Error()))
+		p.core.NotConnected(p.now(), o.Conn, why)
+	})
 }
 
 // Tell runs f on the loop: news for the core from outside, such as signals.
