--- a/internal/platform/calls.go
+++ b/internal/platform/calls.go
@@ -258,6 +258,7 @@
 
 // adopt takes over a call that stands already, from before this process's start.
 func (c *Core) adopt(p *caller, ref string, o offer) {
+	c.Stats.Adopted++
 	to := c.switches[o.at]
 	if e, known := c.early[ref]; known || to == nil {
 		delete(c.early, ref)
--- a/internal/platform/core.go
+++ b/internal/platform/core.go
@@ -73,6 +73,7 @@
 	Calls, Answered, Refused, Failed, Left uint64
 	Attempts                               uint64
 	Ends                                   [decide.NotSent + 1]uint64 // of attempts before an answer, by outcome
+	Adopted                                uint64 // taken over by 'at'
 	BadCallers, BadSwitches, TurnedAway    uint64
 }
 
@@ -83,9 +84,9 @@
 func (c *Core) reportLine() {
 	c.after(reportEvery, c.reportLine)
 	s := &c.Stats
-	c.note(fmt.Sprintf("calls %d: answered %d, refused %d, failed %d, left %d; open %d, held %d, known %d; attempts %d, ended %v; "+
+	c.note(fmt.Sprintf("calls %d: answered %d, refused %d, failed %d, left %d; open %d, held %d, known %d, adopted %d; attempts %d, ended %v; "+
 		"callers' connections %d, bad %d, turned away %d; switches' connections %d, bad %d", s.Calls, s.Answered, s.Refused, s.Failed,
-		s.Left, c.open, c.ctl.Held(), len(c.calls), s.Attempts, s.Ends, len(c.callers), s.BadCallers, s.TurnedAway, len(c.links), s.BadSwitches))
+		s.Left, c.open, c.ctl.Held(), len(c.calls), s.Adopted, s.Attempts, s.Ends, len(c.callers), s.BadCallers, s.TurnedAway, len(c.links), s.BadSwitches))
 	text := "believed:"
 	for _, b := range c.ctl.Beliefs(c.moduleTime()) {
 		text += " [" + b.String() + "]"
