--- a/decide/decide.go
+++ b/decide/decide.go
@@ -705,7 +705,7 @@
 
 // pressed tells how hard a route presses: 0 is not at all, at 1 and above only trials go.
 func (c *Controller) pressed(n *neighbour, aim time.Duration, worth float64) float64 {
-	x := (c.expected(n)-n.quickest.Seconds())/aim.Seconds() - easyShare // the way itself is no pressure
+	x := c.expected(n)/aim.Seconds() - easyShare
 	if c.meanWorth > 0 {
 		worth /= c.meanWorth
 	}
--- a/internal/platform/core.go
+++ b/internal/platform/core.go
@@ -73,7 +73,7 @@
 	Calls, Answered, Refused, Failed, Left uint64
 	Attempts                               uint64
 	Ends                                   [decide.NotSent + 1]uint64 // of attempts before an answer, by outcome
-	Adopted                                uint64 // taken over by 'at'
+	Adopted                                uint64                     // taken over by 'at'
 	BadCallers, BadSwitches, TurnedAway    uint64
 }
 
