Reread: both servers share one timer; one way ends attempts and connections; dead code out

Need: the platform's runtime wrote the loop's timer of the router's server again, its core ended attempts in four nearly equal ways and connections to switches in three, and constants, errors and parameters were left that nothing read. Change: runtime/waker.go is the timer of both; cancel, endedAs and endWaiting end attempts, and whether an answer is still owed follows from the call being known; forget and leave end connections. The bound on unsent releases is named in the bytes that it counts. Replacement characters of a description are counted only where it has any, instead of a copy of each. Socket tests use freePort and await, which were there.

--- a/internal/jsonl/message.go
+++ b/internal/jsonl/message.go
@@ -46,14 +46,13 @@
 
 // Errors of messages.
 var (
-	ErrLong    = fmt.Errorf("line of more than %d bytes", MaxLine)
-	ErrLine    = errors.New("not a JSON object of the protocol")
-	ErrRef     = errors.New("ref is not 16 hex digits")
-	ErrType    = errors.New("type is not a string")
-	ErrFields  = errors.New("fields are not strings or numbers")
-	ErrCause   = errors.New("cause is not a number from 0 to 127")
-	ErrMissing = errors.New("no description")
-	ErrDesc    = errors.New("description cannot be passed on unchanged")
+	ErrLong   = fmt.Errorf("line of more than %d bytes", MaxLine)
+	ErrLine   = errors.New("not a JSON object of the protocol")
+	ErrRef    = errors.New("ref is not 16 hex digits")
+	ErrType   = errors.New("type is not a string")
+	ErrFields = errors.New("fields are not strings or numbers")
+	ErrCause  = errors.New("cause is not a number from 0 to 127")
+	ErrDesc   = errors.New("description cannot be passed on unchanged")
 )
 
 // Message is one line. Ref is set also on errors, where it could be read.
@@ -97,7 +96,7 @@
 	}
 	if d := raw["d"]; d != nil {
 		s, ok := text(d)
-		if !ok || strings.Count(s, replacement) > replacements(d) {
+		if n := strings.Count(s, replacement); !ok || n > 0 && n > replacements(d) {
 			return m, ErrDesc // half of a surrogate pair: not everyone can read it
 		}
 		m.Desc = bytes.Clone(bytes.TrimSpace(d))
--- a/internal/platform/callers.go
+++ b/internal/platform/callers.go
@@ -1,6 +1,8 @@
 package platform
 
 import (
+	"cmp"
+	"slices"
 	"strconv"
 	"time"
 
@@ -30,8 +32,6 @@
 	ended  bool
 }
 
-func quote(s string) []byte { return jsonl.Quote(s) }
-
 // Accept takes a connection from a caller; the runtime hands on what it brings under the handle. Over the budget of
 // descriptors the one that has been silent longest gives way.
 func (c *Core) Accept(now time.Duration) Conn {
@@ -84,7 +84,7 @@
 			gone = append(gone, p)
 		}
 	}
-	sortByConn(gone)
+	slices.SortFunc(gone, func(a, b *caller) int { return cmp.Compare(a.id, b.id) })
 	for _, p := range gone {
 		p.end(true)
 	}
@@ -114,12 +114,12 @@
 		return !p.ended
 	})
 	if err != nil && !p.ended {
-		p.bad("", err)
+		p.bad("")
 	}
 }
 
 // bad answers what cannot be used with a failure, where it names a call, and ends the connection.
-func (p *caller) bad(ref string, _ error) {
+func (p *caller) bad(ref string) {
 	p.core.Stats.BadCallers++
 	if ref != "" {
 		p.down(ref, jsonl.Temporary, 0)
@@ -134,7 +134,7 @@
 		if k := p.core.calls[ref]; k != nil && k.from == p {
 			ref = "" // it gets its one answer when the connection ends
 		}
-		p.bad(ref, err)
+		p.bad(ref)
 		return
 	}
 	switch m.Type {
@@ -147,7 +147,7 @@
 		p.core.line(p.id, func(b []byte) []byte { return jsonl.AppendTested(b, m.Ref, p.core.Ready()) })
 	case jsonl.Ack, jsonl.Wait, jsonl.Tested:
 	default:
-		p.bad(m.Ref, jsonl.ErrType)
+		p.bad(m.Ref)
 	}
 }
 
@@ -181,7 +181,7 @@
 		if err != nil || !jsonl.IsHex(key) {
 			return o, false
 		}
-		o.Number, o.key = n, quote(key)
+		o.Number, o.key = n, jsonl.Quote(key)
 	}
 	if r, has := m.Fields["retry"]; has && r != "0" {
 		if r != "1" {
@@ -247,9 +247,9 @@
 		case k.from == p && !k.standing:
 			// Both set-ups bear one reference, so one answer is all that can be told: the first call is given up
 			// and the failure ends them both.
-			p.bad("", jsonl.ErrRef)
+			p.bad("")
 		default:
-			p.bad(m.Ref, jsonl.ErrRef)
+			p.bad(m.Ref)
 		}
 		return
 	}
@@ -286,7 +286,7 @@
 	}
 }
 
-// callerLost takes in that a caller's connection has ended: set-ups open on it are given up, standing calls are not.
+// lost takes in that a caller's connection has ended: set-ups open on it are given up, standing calls are not.
 func (p *caller) lost() {
 	if p.ended {
 		return
--- a/internal/platform/calls.go
+++ b/internal/platform/calls.go
@@ -107,10 +107,10 @@
 	}
 }
 
-// cancel calls an attempt off and tells the module how it ended.
+// cancel takes an attempt back and tells the module how it ended.
 func (c *Core) cancel(a *attempt, o decide.Outcome) {
 	c.withdraw(a)
-	c.ended(a, decide.Ended{Outcome: o, Concluded: true, Report: decide.NoReport})
+	c.endedAs(a, o)
 }
 
 // openOn lists the calls that are owed an answer on a connection, oldest first.
@@ -148,7 +148,7 @@
 		a.limit = min(a.limit, c.now+s.Timeout)
 	}
 	if a.limit <= c.now {
-		c.ended(a, decide.Ended{Outcome: decide.NotSent, Report: decide.NoReport})
+		c.endedAs(a, decide.NotSent)
 		return
 	}
 	if l := to.pick(); l != nil {
@@ -156,7 +156,7 @@
 		return
 	}
 	to.waiting = append(to.waiting, a)
-	a.timer.Value = func() { c.notConnected(a) }
+	a.timer.Value = func() { c.cancel(a, decide.Unreachable) } // nothing ran
 	c.queue.Set(&a.timer, min(a.limit, c.now+c.cfg.Setup.ConnectTimeout))
 	to.connect()
 }
@@ -169,22 +169,10 @@
 	s := jsonl.SetUp{Ref: k.ref, Class: c.quoted[k.class], Key: k.key, Left: a.limit - c.now, Desc: k.desc}
 	c.line(l.id, s.Append)
 	l.expect()
-	a.timer.Value = func() { c.timedOut(a) }
+	a.timer.Value = func() { c.cancel(a, decide.TimedOut) }
 	c.queue.Set(&a.timer, a.limit)
 }
 
-// notConnected ends an attempt that no connection came up for: nothing ran.
-func (c *Core) notConnected(a *attempt) {
-	c.withdraw(a)
-	c.ended(a, decide.Ended{Outcome: decide.Unreachable, Report: decide.NoReport})
-}
-
-// timedOut ends an attempt that has waited its time.
-func (c *Core) timedOut(a *attempt) {
-	c.withdraw(a)
-	c.ended(a, decide.Ended{Outcome: decide.TimedOut, Report: decide.NoReport})
-}
-
 // withdraw takes an attempt back, wherever it is. An answer that crosses this is dropped: for the switch the give-up
 // that it then reads is the release of a call that stands.
 func (c *Core) withdraw(a *attempt) {
@@ -198,7 +186,12 @@
 	}
 }
 
-// ended tells the module how an attempt ended, once.
+// endedAs tells the module how an attempt ended that nothing was reported with.
+func (c *Core) endedAs(a *attempt, o decide.Outcome) {
+	c.ended(a, decide.Ended{Outcome: o, Report: decide.NoReport})
+}
+
+// ended tells the module how an attempt ended, once. An answer is owed still, unless the call is forgotten.
 func (c *Core) ended(a *attempt, e decide.Ended) {
 	k := a.call
 	if k.out != a {
@@ -211,6 +204,7 @@
 	k.out = nil
 	c.Stats.Ends[e.Outcome]++
 	e.Call, e.Attempt, e.Exchange, e.Took = k.id, a.no, a.to.id, c.now-a.began
+	e.Concluded = c.byID[k.id] == nil
 	c.feed(e)
 }
 
@@ -225,7 +219,7 @@
 	a.to.standing++
 	k.from.stands++
 	k.from.served++
-	k.from.core.line(k.from.id, func(b []byte) []byte { return jsonl.AppendUp(b, k.ref, desc) })
+	c.line(k.from.id, func(b []byte) []byte { return jsonl.AppendUp(b, k.ref, desc) })
 	c.feed(decide.Standing{Call: k.id, Attempt: a.no, Exchange: a.to.id, Took: c.now - a.began})
 }
 
--- a/internal/platform/core.go
+++ b/internal/platform/core.go
@@ -7,6 +7,7 @@
 
 	"pipitring/decide"
 	"pipitring/internal/coordinator"
+	"pipitring/internal/jsonl"
 	"pipitring/internal/timers"
 )
 
@@ -64,7 +65,6 @@
 	releaseFor   = 8 * time.Second         // a release that could not be sent is of no use after this
 	adoptedFor   = 10 * time.Minute        // a call named by 'at' that nobody ever ends is forgotten
 	earlyKept    = 1024                    // releases that came before their call was named by 'at'
-	outsKept     = 64
 	houseKeeping = 250 * time.Millisecond
 )
 
@@ -143,7 +143,7 @@
 		switches: map[decide.ExchangeID]*far{}, links: map[Conn]*link{}, early: map[string]early{}}
 	for i, name := range cfg.Setup.Classes {
 		c.classes[name] = i
-		c.quoted = append(c.quoted, quote(name))
+		c.quoted = append(c.quoted, jsonl.Quote(name))
 	}
 	c.takeList(decide.ListCached, cfg.Known)
 	c.coord.begin(c, cfg.Last)
@@ -242,12 +242,12 @@
 	c.queue.Set(&timers.Entry[func()]{Value: f}, c.now+max(d, 0))
 }
 
-// takeList takes events of the coordinator in.
+// takeList takes events of the coordinator in; kind is that of a whole list.
 func (c *Core) takeList(kind decide.ListKind, events []coordinator.Event) {
 	for _, ev := range events {
 		list := decide.List{Kind: decide.ListChanges}
 		if ev.Whole {
-			list.Kind = max(kind, decide.ListFull)
+			list.Kind = kind
 		}
 		for _, e := range ev.Entries {
 			list.Entries = append(list.Entries, decide.Entry{Exchange: decide.ExchangeID(e.ID), Number: e.Number,
--- a/internal/platform/switches.go
+++ b/internal/platform/switches.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"errors"
 	"iter"
 	"net/netip"
 	"slices"
@@ -37,7 +36,7 @@
 	// that brings no whole line for so long after it should, while another does, is of no further use.
 	deafAfter  = 200 * time.Millisecond
 	deafProof  = 50 * time.Millisecond // and this is left to it when another one speaks: both may have been held up
-	mostUnsent = 4096                  // releases that wait for a connection
+	mostUnsent = 256 << 10             // bytes of releases that wait for a connection
 )
 
 // far is one switch on the list: its process, known by its id, not by its address.
@@ -98,7 +97,7 @@
 	case c.now < l.owes+deafAfter:
 		c.queue.Set(&l.check, l.owes+deafAfter)
 	case l.lines.Partial():
-		l.spoil(errStopped)
+		l.spoil()
 	case !l.deaf:
 		l.deaf = true
 		l.to.connect()
@@ -115,7 +114,7 @@
 		case o.deaf:
 			l.to.core.after(deafProof, func() {
 				if o.deaf && !o.ended {
-					o.spoil(errDeaf)
+					o.spoil()
 				}
 			})
 		case group:
@@ -124,11 +123,6 @@
 	}
 }
 
-var (
-	errStopped = errors.New("a line stopped short")
-	errDeaf    = errors.New("nothing came while another connection spoke")
-)
-
 func (l *link) down(ref string, cause int) {
 	l.to.core.line(l.id, func(b []byte) []byte { return jsonl.AppendDown(b, ref, cause, 0) })
 }
@@ -204,11 +198,7 @@
 func (f *far) notUp(l *link, why DialError) {
 	f.dialling, f.down = 0, true
 	delete(f.core.links, l.id)
-	waiting := f.waiting
-	f.waiting = nil
-	for _, a := range waiting {
-		f.core.ended(a, decide.Ended{Outcome: decide.Unreachable, Report: decide.NoReport})
-	}
+	f.endWaiting(decide.Unreachable)
 	if len(f.links) == 0 && (why == Refused || f.broken) {
 		f.cutAll()
 	}
@@ -220,6 +210,15 @@
 	})
 }
 
+// endWaiting ends the attempts that wait for a connection.
+func (f *far) endWaiting(o decide.Outcome) {
+	waiting := f.waiting
+	f.waiting = nil
+	for _, a := range waiting {
+		f.core.endedAs(a, o)
+	}
+}
+
 // unwait takes an attempt off those that wait for a connection.
 func (f *far) unwait(a *attempt) {
 	f.waiting = slices.DeleteFunc(f.waiting, func(o *attempt) bool { return o == a })
@@ -250,10 +249,8 @@
 	if l.ended {
 		return
 	}
-	l.ended = true
 	f := l.to
-	f.core.queue.Stop(&l.check)
-	delete(f.core.links, l.id)
+	l.forget()
 	f.links = slices.DeleteFunc(f.links, func(o *link) bool { return o == l })
 	f.again = f.core.now + lossSeen
 	f.core.after(lossSeen, f.keepUp)
@@ -266,25 +263,37 @@
 		f.cutAll()
 	}
 	for _, a := range outs {
-		f.core.ended(a, decide.Ended{Outcome: decide.Cut, Report: decide.NoReport})
+		f.core.endedAs(a, decide.Cut)
 	}
 	f.keepUp()
 	f.core.tidy(f)
 }
 
-// spoil ends a connection that brought what cannot be read.
-func (l *link) spoil(why error) {
-	l.to.core.Stats.BadSwitches++
+// forget drops a connection that is over.
+func (l *link) forget() {
+	l.ended = true
+	l.to.core.queue.Stop(&l.check)
+	delete(l.to.core.links, l.id)
+}
+
+// leave ends a connection from this side.
+func (l *link) leave() {
 	l.to.core.close(l.id, false)
 	l.lost()
 }
 
+// spoil ends a connection of no further use: it brought what cannot be read, or nothing.
+func (l *link) spoil() {
+	l.to.core.Stats.BadSwitches++
+	l.leave()
+}
+
 // release sends the release of a standing call: on its set-up's connection, else on any, else on the next.
 func (f *far) release(k *call, cause int) {
 	on := k.on
 	if on == nil || on.ended {
 		if len(f.links) == 0 {
-			if len(f.unsent) < mostUnsent*64 && f.phase != decide.Gone && !f.replaced {
+			if len(f.unsent) < mostUnsent && f.phase != decide.Gone && !f.replaced {
 				f.unsent = jsonl.AppendDown(f.unsent, k.ref, cause, 0)
 				f.keepUp()
 			}
@@ -309,9 +318,7 @@
 	case quiet > quietFor && len(f.links) == 1 || quiet > silentFor && now-f.probed > silentFor:
 		f.probed = now
 		if len(f.links) >= maxLinks {
-			idle := f.pick()
-			f.core.close(idle.id, false)
-			idle.lost()
+			f.pick().leave()
 		}
 		f.connect()
 	}
@@ -323,7 +330,7 @@
 	err := l.lines.Push(b, func(line []byte) bool {
 		m, err := jsonl.Parse(line)
 		if err != nil {
-			l.spoil(err)
+			l.spoil()
 			return false
 		}
 		l.spoke(m.Type == jsonl.Gauge)
@@ -333,7 +340,7 @@
 	switch {
 	case l.ended:
 	case err != nil:
-		l.spoil(err)
+		l.spoil()
 	case l.lines.Partial():
 		l.expect()
 	}
@@ -347,7 +354,7 @@
 		switch {
 		case a == nil: // a second copy, an unknown id, or one that was given up
 		case m.Desc == nil:
-			l.spoil(jsonl.ErrMissing)
+			l.spoil()
 		default:
 			c.answered(a, m.Desc)
 		}
@@ -453,11 +460,7 @@
 // settle does what follows from a change of the list.
 func (f *far) settle() {
 	if f.phase != decide.Ready || f.replaced {
-		waiting := f.waiting
-		f.waiting = nil
-		for _, a := range waiting { // told while they waited for a connection: they do not leave
-			f.core.ended(a, decide.Ended{Outcome: decide.NotSent, Report: decide.NoReport})
-		}
+		f.endWaiting(decide.NotSent) // told while they waited for a connection: they do not leave
 	}
 	if len(f.links) == 0 && (f.phase == decide.Gone || f.replaced || f.restarted) {
 		f.cutAll() // what stood before its end or its start is over
@@ -481,9 +484,7 @@
 	links := f.links
 	f.links = nil
 	for _, l := range links {
-		l.ended = true
-		c.queue.Stop(&l.check)
-		delete(c.links, l.id)
+		l.forget()
 		c.close(l.id, false)
 	}
 }
@@ -498,10 +499,6 @@
 	return list
 }
 
-func sortByConn(list []*caller) {
-	slices.SortFunc(list, func(a, b *caller) int { return cmp.Compare(a.id, b.id) })
-}
-
 // Connected tells that a connection that was dialled is up.
 func (c *Core) Connected(now time.Duration, id Conn) {
 	c.tell(now)
--- a/internal/runtime/platform.go
+++ b/internal/runtime/platform.go
@@ -41,8 +41,7 @@
 	conns    map[platform.Conn]gnet.Conn
 	gentle   int
 	settling bool
-	wake     *time.Timer
-	wakeAt   time.Duration // 0 is not set
+	wake     waker
 	ready    chan struct{} // closed when the loop is known
 	done     chan struct{}
 	failed   error
@@ -84,8 +83,7 @@
 func StartPlatform(cfg *platform.Config, log *zap.Logger, trace Trace) (*Platform, error) {
 	p := &Platform{log: log, cfg: cfg, trace: trace, conns: map[platform.Conn]gnet.Conn{}, ready: make(chan struct{}), done: make(chan struct{})}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
-	p.wake = time.AfterFunc(time.Hour, p.fire)
-	p.wake.Stop()
+	p.wake = newWaker(p.fire)
 	p.start = time.Now()
 	p.core = platform.New(cfg, p.start)
 	go func() {
@@ -140,8 +138,8 @@
 
 // OnTraffic hands on what a connection brought.
 func (p *Platform) OnTraffic(c gnet.Conn) gnet.Action {
-	e, b := c.Context().(*end), []byte(nil)
-	b, _ = c.Next(-1) // -1 is all there is, which cannot be too much
+	e := c.Context().(*end)
+	b, _ := c.Next(-1) // -1 is all there is, which cannot be too much
 	if e.over {
 		if e.read += len(b); e.read > gentleBytes {
 			return gnet.Close
@@ -173,9 +171,8 @@
 	return gnet.None
 }
 
-func (p *Platform) fire() {
-	p.do(func() { p.wakeAt = 0 })
-}
+// fire is the timer's end; it runs beside the loop.
+func (p *Platform) fire() { p.do(p.wake.rang) }
 
 // do runs f on the loop; once the loop has ended there is nothing to do.
 func (p *Platform) do(f func()) {
@@ -202,13 +199,8 @@
 			p.carryOut(o)
 		}
 	}
-	if at, ok := p.core.Next(); ok {
-		at = max(at, now+timerGrain)
-		if p.wakeAt == 0 || at < p.wakeAt {
-			p.wakeAt = at
-			p.wake.Reset(at - now)
-		}
-	}
+	at, ok := p.core.Next()
+	p.wake.want(now, at, ok)
 	p.settling = false
 }
 
@@ -293,7 +285,7 @@
 	err := p.engine.Stop(ctx)
 	<-p.done
 	p.side.Wait()
-	p.wake.Stop()
+	p.wake.stop()
 	return err
 }
 
--- a/internal/runtime/platform_test.go
+++ b/internal/runtime/platform_test.go
@@ -66,12 +66,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(s.coord.Stop)
-	lis, err := net.Listen("tcp4", "127.0.0.1:0") // a port that is free
-	if err != nil {
-		t.Fatal(err)
-	}
-	s.at = lis.Addr().(*net.TCPAddr).AddrPort()
-	lis.Close()
+	s.at = freePort(t)
 	cfg, err := platform.ParseConfig(standin.PlatformConfig(s.at, s.coord.Addr(), sockets, s.sw.Addr()))
 	if err != nil {
 		t.Fatal(err)
@@ -80,20 +75,10 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = s.proxy.Stop() })
-	s.until("the proxy passes its test", func() bool { return s.tested() })
+	await(s.t, "the proxy passes its test", func() bool { return s.tested() })
 	return s
 }
 
-// until waits for something that comes about by itself; only a failure takes its whole time.
-func (s *scene) until(what string, is func() bool) {
-	s.t.Helper()
-	for end := time.Now().Add(patience); !is(); time.Sleep(2 * time.Millisecond) {
-		if time.Now().After(end) {
-			s.t.Fatalf("not within %v: %s", patience, what)
-		}
-	}
-}
-
 func (s *scene) dial() *standin.JSONPeer {
 	s.t.Helper()
 	p, err := standin.DialJSON(s.at)
@@ -130,6 +115,14 @@
 	s.expect(p, jsonl.Up, n)
 }
 
+// hangUp releases a call that stands.
+func (s *scene) hangUp(p *standin.JSONPeer, n int) {
+	s.t.Helper()
+	if err := p.Send(string(jsonl.AppendDown(nil, callRef(n), jsonl.Normal, 0))); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
 func (s *scene) expect(p *standin.JSONPeer, typ string, n int) jsonl.Message {
 	s.t.Helper()
 	m, err := p.Receive()
@@ -147,11 +140,9 @@
 	}
 	q := s.dial()
 	for n := 1; n <= 50; n++ { // on another connection than their set-up's
-		if err := q.Send(string(jsonl.AppendDown(nil, callRef(n), jsonl.Normal, 0))); err != nil {
-			t.Fatal(err)
-		}
+		s.hangUp(q, n)
 	}
-	s.until("all releases reach the switch", func() bool { return s.saw("down " + callRef(50)) })
+	await(s.t, "all releases reach the switch", func() bool { return s.saw("down " + callRef(50)) })
 }
 
 func TestPlatformLosesNoStandingCallToAReset(t *testing.T) {
@@ -171,7 +162,7 @@
 func TestPlatformFollowsTheCoordinatorToAnotherAddress(t *testing.T) {
 	s := newScene(t, 256)
 	gone := coordinator.Event{Number: 2, Entries: []coordinator.Entry{{ID: 1, Addr: s.sw.Addr(), Number: 1, Phase: decide.Draining}}}
-	s.until("the coordinator is asked", func() bool { return len(s.coord.Asked()) > 0 })
+	await(s.t, "the coordinator is asked", func() bool { return len(s.coord.Asked()) > 0 })
 	next, err := standin.StartPlatformCoordinator()
 	if err != nil {
 		t.Fatal(err)
@@ -181,8 +172,8 @@
 	p := s.dial()
 	s.call(p, 1)
 	s.proxy.Tell(func(core *platform.Core, now time.Duration) { core.Move(now, next.Addr()) })
-	s.until("the new one is asked", func() bool { a := next.Asked(); return len(a) > 0 && a[0] == 1 })
-	s.until("its news count", func() bool {
+	await(s.t, "the new one is asked", func() bool { a := next.Asked(); return len(a) > 0 && a[0] == 1 })
+	await(s.t, "its news count", func() bool {
 		if err := p.Send(offerLine(2)); err != nil {
 			t.Fatal(err)
 		}
@@ -195,10 +186,8 @@
 		}
 		return m.Type == jsonl.Down
 	})
-	if err := p.Send(string(jsonl.AppendDown(nil, callRef(1), jsonl.Normal, 0))); err != nil {
-		t.Fatal(err)
-	}
-	s.until("the call that stood is still known", func() bool { return s.saw("down " + callRef(1)) })
+	s.hangUp(p, 1)
+	await(s.t, "the call that stood is still known", func() bool { return s.saw("down " + callRef(1)) })
 }
 
 func TestPlatformEndsByItselfAfterSIGTERM(t *testing.T) {
@@ -211,9 +200,7 @@
 	}
 	s.call(p, 2)
 	for n := 1; n <= 2; n++ {
-		if err := p.Send(string(jsonl.AppendDown(nil, callRef(n), jsonl.Normal, 0))); err != nil {
-			t.Fatal(err)
-		}
+		s.hangUp(p, n)
 	}
 	ended := make(chan error, 1)
 	go func() { ended <- s.proxy.Wait() }()
@@ -266,7 +253,7 @@
 	}()
 	s.call(s.dial(), 1)
 	// Both ends are in this process: the callers' own ends are taken off.
-	s.until("its descriptors are within the limit", func() bool { return descriptors(t)-before-2*sockets-8 <= sockets })
+	await(s.t, "its descriptors are within the limit", func() bool { return descriptors(t)-before-2*sockets-8 <= sockets })
 }
 
 func descriptors(t *testing.T) int {
--- a/internal/runtime/server.go
+++ b/internal/runtime/server.go
@@ -51,8 +51,7 @@
 	fd       int
 	batch    *batcher
 	loop     gnet.EventLoop // known from the first datagram on, which we send ourselves
-	wake     *time.Timer
-	wakeAt   time.Duration // 0 is not set
+	wake     waker
 	ready    chan struct{} // closed when the loop is known
 	done     chan struct{} // closed when the loop has ended
 	failed   error
@@ -82,8 +81,7 @@
 		return nil, err
 	}
 	s.metrics = newMetrics(s)
-	s.wake = time.AfterFunc(time.Hour, s.fire)
-	s.wake.Stop()
+	s.wake = newWaker(s.fire)
 	go func() {
 		defer close(s.done)
 		err := gnet.Rotate(s, s.sockets(), gnet.WithNumEventLoop(1), gnet.WithLogger(quiet{log.Sugar()}),
@@ -197,7 +195,7 @@
 
 // OnShutdown closes what OnBoot opened.
 func (s *Server) OnShutdown(gnet.Engine) {
-	s.wake.Stop()
+	s.wake.stop()
 	if s.batch != nil {
 		_ = unix.Close(s.fd)
 	}
@@ -235,7 +233,7 @@
 func (s *Server) fire() {
 	// The error says that the loop has ended: then there is nothing to do.
 	_ = s.loop.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
-		s.wakeAt = 0
+		s.wake.rang()
 		s.settle(s.now())
 		return nil
 	}))
@@ -248,13 +246,8 @@
 	}
 	s.flush(now)
 	s.takeRecords(now)
-	if at, ok := s.node.Next(); ok {
-		at = max(at, now+timerGrain)
-		if s.wakeAt == 0 || at < s.wakeAt {
-			s.wakeAt = at
-			s.wake.Reset(at - now)
-		}
-	}
+	at, ok := s.node.Next()
+	s.wake.want(now, at, ok)
 }
 
 func (s *Server) flush(now time.Duration) {
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -24,7 +24,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return &JSONPeer{conn, bufio.NewReaderSize(conn, jsonl.MaxLine+1)}, nil
+	return newJSONPeer(conn), nil
+}
+
+func newJSONPeer(conn net.Conn) *JSONPeer {
+	return &JSONPeer{conn, bufio.NewReaderSize(conn, jsonl.MaxLine+1)}
 }
 
 // Send writes bytes as they are.
@@ -89,7 +93,7 @@
 }
 
 func (s *PlatformSwitch) serve(conn net.Conn) {
-	p := &JSONPeer{conn, bufio.NewReaderSize(conn, jsonl.MaxLine+1)}
+	p := newJSONPeer(conn)
 	s.mu.Lock()
 	s.peers[p] = true
 	s.mu.Unlock()
@@ -142,7 +146,7 @@
 	done   sync.WaitGroup
 }
 
-// StartPlatformCoordinator listens on loopback. Its events are numbered from first on.
+// StartPlatformCoordinator listens on loopback; it has nothing to tell yet.
 func StartPlatformCoordinator() (*PlatformCoordinator, error) {
 	lis, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
