Own listener: an accept without descriptors no longer ends the proxy; departures come first

Seen: a proxy with 256 descriptors to which 400 callers connected at once ended: "Accept() failed due to error: too many open files", "main reactor is exiting". At fault: gnet's listener, which ends its loop at any error of an accept (runtime/platform.go, gnet.Run); the budget of callers could not help, as all that waited were accepted before the core heard of the first. Now net.Listener accepts one connection at a time and the loop has it before the next; for want of descriptors the core makes room and the accept is tried again. A dial that fails for the same want (NoRoom) says nothing of the switch; room is made when the list grows; a further connection to a switch is not worth the last descriptors.

Read for races: news of one round of the loop was acted upon in the order in which sockets were read, so a process that had stood still began set-ups for callers whose close or give-up lay unread behind it. core.Round takes a round together: departures and give-ups, the list, switches, then what callers ask for, then timers. A caller's socket is read to its end first. Stop waits for what is handed to the loop while the loop still runs; a connection that the loop could not watch is told as not up. Ruled out: ordering in rounds of epoll, as a task queued by a task runs in the same round. Tests hold the loop at a gate; each fails without its part.

--- a/internal/platform/bed_test.go
+++ b/internal/platform/bed_test.go
@@ -127,6 +127,14 @@
 	b.take()
 }
 
+// round hands over what was found on several connections at once.
+func (b *bed) round(in ...Input) {
+	b.Round(b.at, in)
+	b.take()
+}
+
+func piece(lines ...string) []byte { return []byte(strings.Join(lines, "\n") + "\n") }
+
 func (b *bed) pass(d time.Duration) {
 	until := b.at + d
 	for {
--- a/internal/platform/callers.go
+++ b/internal/platform/callers.go
@@ -29,7 +29,11 @@
 	open   int           // set-ups owed an answer
 	stands int           // calls that stand, whose set-up came on it
 	served int           // set-ups that were answered
+	gone   bool          // it has ended, though bytes from it are still to be read
 	ended  bool
+
+	got    []parsed // read and not yet acted upon
+	gotErr error    // what follows it cannot be read
 }
 
 // Accept takes a connection from a caller; the runtime hands on what it brings under the handle. Over the budget of
@@ -46,6 +50,31 @@
 	return p.id
 }
 
+// MakeRoom ends the caller's connection whose loss costs least, if it bears no call: descriptors have run out.
+func (c *Core) MakeRoom(now time.Duration) {
+	c.tell(now)
+	c.makeRoom()
+}
+
+func (c *Core) makeRoom() bool {
+	p := c.leastUsed()
+	if p == nil || p.open > 0 || p.stands > 0 {
+		return false
+	}
+	c.Stats.TurnedAway++
+	p.end(false)
+	return true
+}
+
+// descriptors is the number that may be in use now.
+func (c *Core) descriptors() int { return ownSockets + len(c.links) + len(c.callers) }
+
+// shareRoom ends callers' connections over the budget, which shrinks as the list grows, as far as they bear no call.
+func (c *Core) shareRoom() {
+	for len(c.callers) > c.cfg.budget(len(c.switches)) && c.makeRoom() {
+	}
+}
+
 // leastUsed is the connection whose loss costs least: one that has been silent since it came, else one without a call
 // that is open or stands, longest unused first, else the newest. A release finds its way without the connection of its
 // set-up only if the callers' other ones can be told from strangers'.
@@ -96,8 +125,9 @@
 		return
 	}
 	p.ended = true
-	for _, k := range p.core.openOn(p) {
-		p.core.giveUp(k)
+	open := p.core.openOn(p)
+	p.core.giveUp(open)
+	for _, k := range open {
 		p.down(k.ref, jsonl.Temporary, 0)
 	}
 	delete(p.core.callers, p.id)
@@ -108,12 +138,38 @@
 	p.core.line(p.id, func(b []byte) []byte { return jsonl.AppendDown(b, ref, cause, wait) })
 }
 
-func (p *caller) receive(b []byte) {
+// parsed is one line.
+type parsed struct {
+	jsonl.Message
+	err error
+}
+
+// takeIn reads bytes; act does what they ask for.
+func (p *caller) takeIn(b []byte) {
 	err := p.lines.Push(b, func(line []byte) bool {
-		p.message(line)
-		return !p.ended
+		m, err := jsonl.Parse(line)
+		p.got = append(p.got, parsed{m, err})
+		return err == nil
 	})
-	if err != nil && !p.ended {
+	p.gotErr = cmp.Or(p.gotErr, err)
+}
+
+// act does what was read together: a set-up that is given up further on in it is never begun.
+func (p *caller) act() {
+	got, err := p.got, p.gotErr
+	p.got, p.gotErr = nil, nil
+	givenUp := map[string]int{} // where the last give-up of a reference stands
+	for i := range got {
+		if got[i].Type == jsonl.Down {
+			givenUp[got[i].Ref] = i
+		}
+	}
+	for i := range got {
+		if p.message(&got[i], givenUp[got[i].Ref] > i); p.ended {
+			return
+		}
+	}
+	if err != nil {
 		p.bad("")
 	}
 }
@@ -127,9 +183,8 @@
 	p.end(true)
 }
 
-func (p *caller) message(line []byte) {
-	m, err := jsonl.Parse(line)
-	if err != nil {
+func (p *caller) message(m *parsed, givenUp bool) {
+	if m.err != nil {
 		ref := m.Ref
 		if k := p.core.calls[ref]; k != nil && k.from == p {
 			ref = "" // it gets its one answer when the connection ends
@@ -139,9 +194,9 @@
 	}
 	switch m.Type {
 	case jsonl.New:
-		p.setUp(&m)
+		p.setUp(&m.Message, givenUp)
 	case jsonl.Down:
-		p.release(&m)
+		p.release(&m.Message)
 	case jsonl.Test:
 		p.asked, p.used = true, p.core.now
 		p.core.line(p.id, func(b []byte) []byte { return jsonl.AppendTested(b, m.Ref, p.core.Ready()) })
@@ -233,7 +288,8 @@
 	return o.Dest >= 0 || o.isAt
 }
 
-func (p *caller) setUp(m *jsonl.Message) {
+// setUp takes a set-up; the caller may have given it up by now.
+func (p *caller) setUp(m *jsonl.Message, givenUp bool) {
 	c := p.core
 	o, ok := p.read(m)
 	if k := c.calls[m.Ref]; k != nil {
@@ -263,6 +319,10 @@
 		return
 	}
 	p.asked, p.used = true, c.now
+	if givenUp || p.gone { // nobody waits for it any more
+		c.Stats.Left++
+		return
+	}
 	c.sendHomeless(p)
 	if most := c.cfg.Setup.MaxOpen; most > 0 && c.open >= most {
 		c.Stats.Refused++
@@ -281,8 +341,7 @@
 		p.asked, p.used = true, p.core.now
 		p.core.hangUp(k, m.Cause)
 	case k.from == p:
-		p.core.Stats.Left++
-		p.core.giveUp(k)
+		p.core.left([]*call{k})
 	}
 }
 
@@ -291,19 +350,16 @@
 	if p.ended {
 		return
 	}
-	p.ended = true
+	p.ended, p.gone = true, true
 	delete(p.core.callers, p.id)
-	for _, k := range p.core.openOn(p) {
-		p.core.Stats.Left++
-		p.core.giveUp(k)
-	}
+	p.core.left(p.core.openOn(p))
 }
 
 // tellCaller sends a line about a standing call: on its own connection, else on the one that callers use most, else on
 // the next that asks for something.
 func (c *Core) tellCaller(k *call, cause int) {
 	to := k.from
-	if to.ended {
+	if to.ended || to.gone {
 		to = c.mostServed()
 	}
 	if to != nil {
@@ -323,7 +379,7 @@
 // for something.
 func (c *Core) mostServed() (best *caller) {
 	for _, p := range c.callers {
-		if p.asked && (best == nil || p.served > best.served || p.served == best.served && p.id > best.id) {
+		if p.asked && !p.gone && (best == nil || p.served > best.served || p.served == best.served && p.id > best.id) {
 			best = p
 		}
 	}
--- a/internal/platform/calls.go
+++ b/internal/platform/calls.go
@@ -92,18 +92,29 @@
 	}
 }
 
-// giveUp ends a call whose caller waits no longer. The attempt that is out is called off; one that was waited for to
-// the caller's end has timed out, which tells more of the switch.
-func (c *Core) giveUp(k *call) {
-	c.unowe(k)
-	c.forget(k)
-	c.feed(decide.CallerLeft{Call: k.id})
-	switch {
-	case k.out == nil:
-	case k.out.on != nil && c.now+clockSlack >= k.end:
-		c.cancel(k.out, decide.TimedOut)
-	default:
-		c.cancel(k.out, decide.Cancelled)
+// left takes in that callers wait no longer for their calls.
+func (c *Core) left(list []*call) {
+	c.Stats.Left += uint64(len(list))
+	c.giveUp(list)
+}
+
+// giveUp ends calls whose callers wait no longer. The attempts that are out are called off once the module knows of all
+// of them, or what one frees would be used for the next; one that was waited for to the caller's end has timed out, which
+// tells more of the switch.
+func (c *Core) giveUp(list []*call) {
+	for _, k := range list {
+		c.unowe(k)
+		c.forget(k)
+		c.feed(decide.CallerLeft{Call: k.id})
+	}
+	for _, k := range list {
+		switch {
+		case k.out == nil:
+		case k.out.on != nil && c.now+clockSlack >= k.end:
+			c.cancel(k.out, decide.TimedOut)
+		default:
+			c.cancel(k.out, decide.Cancelled)
+		}
 	}
 }
 
--- a/internal/platform/core.go
+++ b/internal/platform/core.go
@@ -21,6 +21,7 @@
 const (
 	Silent  DialError = iota // not up in time
 	Refused                  // nobody listens there: the process is dead
+	NoRoom                   // our own want of descriptors: it says nothing of the far end
 )
 
 // Output is something that the runtime has to do: one of the types below.
@@ -88,12 +89,24 @@
 		"callers' connections %d, bad %d, turned away %d; switches' connections %d, bad %d", s.Calls, s.Answered, s.Refused, s.Failed,
 		s.Left, c.open, c.ctl.Held(), len(c.calls), s.Adopted, s.Attempts, s.Ends, len(c.callers), s.BadCallers, s.TurnedAway, len(c.links), s.BadSwitches))
 	text := "believed:"
-	for _, b := range c.ctl.Beliefs(c.moduleTime()) {
+	for _, b := range c.Beliefs(c.now) {
 		text += " [" + b.String() + "]"
 	}
 	c.note(text)
 }
 
+// Beliefs is what the module holds true of each far end.
+func (c *Core) Beliefs(now time.Duration) []decide.Belief {
+	c.tell(now)
+	return c.ctl.Beliefs(c.moduleTime())
+}
+
+// Held is the number of calls that wait for a circuit or their turn.
+func (c *Core) Held() int { return c.ctl.Held() }
+
+// Callers is the number of callers' connections.
+func (c *Core) Callers() int { return len(c.callers) }
+
 // Core is the state of one proxy. All times are since its start; it is not safe for concurrent use.
 type Core struct {
 	Stats Stats
@@ -259,6 +272,7 @@
 			f.settle()
 		}
 	}
+	c.shareRoom()
 }
 
 // started puts a start, in Unix milliseconds, on the module's clock; 0 is long ago. Stamps are by the clock that
--- /dev/null
+++ b/internal/platform/departed_test.go
@@ -0,0 +1,168 @@
+package platform
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"pipitring/decide"
+	"pipitring/internal/coordinator"
+	"pipitring/internal/jsonl"
+)
+
+// TestAGiveUpInTheSamePiece: set-ups that are given up further on in what was read together never begin; the others do.
+func TestAGiveUpInTheSamePiece(t *testing.T) {
+	b := upBed(t)
+	p, sw := b.accept(), b.switches[1]
+	b.send(p, setUp(1, 1, ""), setUp(2, 1, ""), down(1, 16, ""), setUp(3, 1, ""), down(9, 16, ""), down(3, 16, ""))
+	b.want(sw, "new 2")
+	b.want(p)
+	b.send(p, setUp(1, 1, "")) // the reference is free again
+	b.want(sw, "new 1")
+	for _, n := range []int{1, 2} {
+		b.send(sw, up(n))
+		b.send(p, down(n, 16, ""))
+	}
+	b.want(sw, "down 1 16", "down 2 16")
+	b.quiet()
+}
+
+// TestDeparted: of what a caller brought before it went nothing begins, and open set-ups are called off; releases of
+// calls that stand count, whoever they come from, and what is owed to callers goes to others.
+func TestDeparted(t *testing.T) {
+	b := upBed(t)
+	p, q, sw := b.accept(), b.accept(), b.switches[1]
+	b.send(p, setUp(1, 1, ""), setUp(2, 1, ""))
+	b.send(sw, up(1))
+	b.send(q, setUp(3, 1, ""), setUp(4, 1, ""))
+	b.send(sw, up(3), up(4))
+	b.want(sw, "new 1", "new 2", "new 3", "new 4")
+	b.want(p, "up 1")
+	b.want(q, "up 3", "up 4")
+	b.round(Input{Conn: p, What: Brought, Bytes: piece(setUp(5, 1, ""), down(3, 16, ""), setUp(6, 1, "")), Gone: true})
+	b.want(sw, "down 2 16", "down 3 16")
+	b.want(p)
+	b.send(sw, down(1, 16, "")) // its own connection has gone
+	b.want(p)
+	b.want(q, "down 1 16")
+	b.Closed(b.at, p)
+	b.take()
+	b.send(q, down(4, 16, ""))
+	b.want(sw, "down 4 16")
+	b.quiet()
+}
+
+// TestARoundIsTakenByWhatItMeans: whatever the order in which a round's news was found, nothing leaves for a caller that
+// has gone or given up, to a switch told to drain, or on a connection that is lost; and an answer that crosses a give-up
+// is not passed on.
+func TestARoundIsTakenByWhatItMeans(t *testing.T) {
+	drain := coordinator.AppendFrame(nil, coordinator.Event{Number: 2, Entries: []coordinator.Entry{entry(1, 1, 2, decide.Draining)}})
+	free := piece(`{"t":"gauge","f":{"load":"idle:10;circuits:10"}}`)
+	for name, c := range map[string]struct {
+		late   func(b *bed, p Conn) []Input
+		caller string // what the caller of call 2 is told
+		out    string // what its switch is told
+	}{
+		"a circuit is free, the caller gone": {func(b *bed, p Conn) []Input {
+			return []Input{{Conn: b.switches[1], What: Brought, Bytes: free}, {Conn: p, What: Ended}}
+		}, "", ""},
+		"a circuit is free, the call given up": {func(b *bed, p Conn) []Input {
+			return []Input{{Conn: b.switches[1], What: Brought, Bytes: free}, {Conn: p, What: Brought, Bytes: piece(down(2, 16, ""))}}
+		}, "", ""},
+		"a circuit is free": {func(b *bed, p Conn) []Input {
+			return []Input{{Conn: b.switches[1], What: Brought, Bytes: free}}
+		}, "", "new 2"},
+		"a circuit is free, the switch drains": {func(b *bed, p Conn) []Input {
+			return []Input{{Conn: b.switches[1], What: Brought, Bytes: free}, {Conn: b.coord, What: Brought, Bytes: drain}}
+		}, "", ""},
+		"asked beside a drain": {func(b *bed, p Conn) []Input {
+			return []Input{{Conn: p, What: Brought, Bytes: piece(setUp(3, 1, ""))}, {Conn: b.coord, What: Brought, Bytes: drain},
+				{Conn: b.switches[1], What: Brought, Bytes: free}}
+		}, "", ""},
+		"asked beside a loss": {func(b *bed, p Conn) []Input {
+			return []Input{{Conn: p, What: Brought, Bytes: piece(setUp(3, 1, ""))}, {Conn: b.switches[1], What: Brought, Bytes: free},
+				{Conn: b.switches[1], What: Ended}}
+		}, "down 2", "new 2"},
+	} {
+		b := upBed(t)
+		p, sw := b.accept(), b.switches[1]
+		for _, l := range b.switches {
+			b.send(l, `{"t":"gauge","f":{"load":"idle:0;circuits:10"}}`)
+		}
+		b.send(p, setUp(2, 1, ""))
+		if b.Held() != 1 {
+			t.Fatal("the call is not held")
+		}
+		b.round(c.late(b, p)...)
+		var out, told []string
+		for _, l := range b.got(sw) {
+			out = append(out, l.Type+" "+strings.TrimLeft(l.Ref, "0"))
+		}
+		for _, l := range b.got(p) {
+			told = append(told, l.Type+" "+strings.TrimLeft(l.Ref, "0"))
+		}
+		if strings.Join(out, ", ") != c.out || strings.Join(told, ", ") != c.caller {
+			t.Errorf("%s: to the switch %q, want %q; to the caller %q, want %q", name, out, c.out, told, c.caller)
+		}
+	}
+}
+
+// TestWantOfDescriptorsSaysNothingOfASwitch: a connection that could not be made for want of descriptors ends no call and
+// leaves the attempt that waits for it, has a silent caller's connection ended, and is tried again.
+func TestWantOfDescriptorsSaysNothingOfASwitch(t *testing.T) {
+	b := upBed(t)
+	p := b.accept()
+	b.send(p, setUp(1, 1, ""))
+	b.send(b.switches[1], up(1))
+	b.want(p, "up 1")
+	silent := b.accept()
+	b.pass(time.Second)
+	b.Closed(b.at, b.switches[1]) // its calls stand on
+	b.send(p, setUp(2, 1, ""))
+	d := b.dialled()
+	b.NotConnected(b.at, d[0].Conn, NoRoom)
+	b.take()
+	if !b.closed[silent] || b.closed[p] {
+		t.Fatalf("ended: the silent caller %t, the usual one %t", b.closed[silent], b.closed[p])
+	}
+	b.want(p)
+	b.pass(100 * ms)
+	b.connect(b.dialled()[0])
+	b.want(b.switches[1], "new 2")
+}
+
+// TestRoomIsMadeWhenTheListGrows: each switch more takes descriptors from the callers' part; those that bear calls stay.
+func TestRoomIsMadeWhenTheListGrows(t *testing.T) {
+	b := upBed(t)
+	p := b.accept()
+	b.send(p, setUp(1, 1, ""))
+	most := b.cfg.budget(len(b.Core.switches))
+	for len(b.callers) < most {
+		b.accept()
+	}
+	var more []coordinator.Entry
+	for n := 3; n < 13; n++ {
+		more = append(more, entry(uint32(n), n, n+1, decide.Ready))
+	}
+	b.list(2, more...)
+	if now := b.cfg.budget(len(b.Core.switches)); len(b.callers) != now || now >= most || b.closed[p] {
+		t.Fatalf("%d callers of %d, before %d; the usual one ended: %t", len(b.callers), now, most, b.closed[p])
+	}
+}
+
+// TestAPieceOfManyLines: lines behind one that cannot be read are not acted upon, and it ends the connection once.
+func TestAPieceOfManyLines(t *testing.T) {
+	b := upBed(t)
+	p := b.accept()
+	b.send(p, setUp(1, 1, ""), `{"t":"new"`, setUp(2, 1, ""), down(1, 16, ""))
+	b.want(b.switches[1], "new 1", "down 1 16")
+	b.want(p, "down 1 41")
+	if !b.closed[p] {
+		t.Fatal("it stays open")
+	}
+	q := b.accept()
+	b.Receive(b.at, q, []byte(setUp(3, 1, "")+"\n"+strings.Repeat("x", jsonl.MaxLine+1)))
+	b.take()
+	b.want(q, "down 3 41")
+	b.quiet()
+}
--- /dev/null
+++ b/internal/platform/round.go
@@ -0,0 +1,88 @@
+package platform
+
+import (
+	"slices"
+	"time"
+
+	"pipitring/internal/jsonl"
+)
+
+// News is what happened on a connection.
+type News uint8
+
+// Kinds of News.
+const (
+	Opened  News = iota // one that was dialled is up
+	Brought             // bytes
+	Ended               // the other end closed it, or it broke
+)
+
+// Input is one piece of news.
+type Input struct {
+	Conn  Conn
+	What  News
+	Bytes []byte
+	Gone  bool // a caller's end was seen behind its bytes; Ended follows, maybe in a later round
+}
+
+// Round takes in what was found on all connections at once, and then does what is due. What is found together may have
+// waited for any time, in any order, so the order is by what it means: departures and give-ups of callers, then the
+// list's news, then switches, then what callers ask for. So no set-up leaves for a caller that has gone, to a switch known
+// to drain or on a connection known to be lost, because of the order in which sockets happen to be read.
+func (c *Core) Round(now time.Duration, in []Input) {
+	c.tell(now)
+	c.departures(in)
+	rank := func(i Input) int {
+		switch {
+		case i.Conn == c.coord.conn:
+			return 0
+		case c.callers[i.Conn] == nil:
+			return 1
+		}
+		return 2
+	}
+	slices.SortStableFunc(in, func(a, b Input) int { return rank(a) - rank(b) })
+	for _, i := range in {
+		switch i.What {
+		case Opened:
+			c.Connected(now, i.Conn)
+		case Brought:
+			if p := c.callers[i.Conn]; p != nil {
+				p.act()
+			} else {
+				c.Receive(now, i.Conn, i.Bytes)
+			}
+		case Ended:
+			c.Closed(now, i.Conn)
+		}
+	}
+	c.Advance(now)
+}
+
+// departures reads what callers brought, and gives up the calls that they have no more use for. Nothing is begun yet.
+func (c *Core) departures(in []Input) {
+	var gone []*call
+	for _, i := range in {
+		p := c.callers[i.Conn]
+		if p == nil {
+			continue
+		}
+		p.takeIn(i.Bytes)
+		if i.Gone || i.What == Ended {
+			p.gone = true
+			gone = append(gone, c.openOn(p)...)
+		}
+	}
+	for _, i := range in {
+		p := c.callers[i.Conn]
+		if p == nil || p.gone {
+			continue
+		}
+		for _, m := range p.got {
+			if k := c.calls[m.Ref]; m.Type == jsonl.Down && k != nil && k.from == p && !k.standing && !slices.Contains(gone, k) {
+				gone = append(gone, k)
+			}
+		}
+	}
+	c.left(slices.Compact(gone))
+}
--- a/internal/platform/switches.go
+++ b/internal/platform/switches.go
@@ -147,9 +147,9 @@
 	return best
 }
 
-// connect makes one more connection, unless one is being made.
+// connect makes one more connection, unless one is being made. A further one is not worth the last descriptors.
 func (f *far) connect() {
-	if f.dialling != 0 || len(f.links) >= maxLinks {
+	if f.dialling != 0 || len(f.links) >= maxLinks || len(f.links) > 0 && f.core.descriptors() >= f.core.cfg.Sockets {
 		return
 	}
 	wait := f.core.cfg.Setup.ConnectTimeout
@@ -196,12 +196,23 @@
 // notUp takes in that no connection came up. Refused, the process is dead, and its calls with it; so it is where it
 // ended its last connection and takes no new one. A machine that vanished leaves its connections open.
 func (f *far) notUp(l *link, why DialError) {
-	f.dialling, f.down = 0, true
+	f.dialling = 0
 	delete(f.core.links, l.id)
+	if why == NoRoom { // attempts that wait have their own limit, and calls that stand are not in doubt
+		f.core.makeRoom()
+		f.redial()
+		return
+	}
+	f.down = true
 	f.endWaiting(decide.Unreachable)
 	if len(f.links) == 0 && (why == Refused || f.broken) {
 		f.cutAll()
 	}
+	f.redial()
+}
+
+// redial makes another connection after a pause.
+func (f *far) redial() {
 	f.pause = min(max(2*f.pause, linkPause), linkPauseMax)
 	f.retry = true
 	f.core.after(f.pause, func() {
@@ -523,6 +534,9 @@
 func (c *Core) NotConnected(now time.Duration, id Conn, why DialError) {
 	c.tell(now)
 	if id == c.coord.conn {
+		if why == NoRoom {
+			c.makeRoom()
+		}
 		c.coord.lost()
 		return
 	}
@@ -535,7 +549,8 @@
 func (c *Core) Receive(now time.Duration, id Conn, b []byte) {
 	c.tell(now)
 	if p := c.callers[id]; p != nil {
-		p.receive(b)
+		p.takeIn(b)
+		p.act()
 	} else if l := c.links[id]; l != nil {
 		l.receive(b)
 	} else if id == c.coord.conn {
--- a/internal/runtime/platform.go
+++ b/internal/runtime/platform.go
@@ -26,29 +26,43 @@
 	gentleBytes  = 256 << 10              // for so many bytes,
 	gentleAtOnce = 32                     // and so many of them at once
 	unread       = 256 << 10              // bytes that wait for an end that does not read, then it is cut
+	readAtOnce   = 16 << 10               // bytes of one read: no message is longer
+	callerAtOnce = 128 << 10              // bytes of one caller in one round of the loop
+	acceptPause  = 5 * time.Millisecond   // after an accept that failed, doubling
+	acceptPauses = 6                      // this often
 )
 
 // Platform is one signalling proxy of the users' platform on its sockets. One event loop owns it.
 type Platform struct {
 	gnet.BuiltinEventEngine
 
-	log      *zap.Logger
-	core     *platform.Core
-	cfg      *platform.Config
-	start    time.Time
-	engine   gnet.Engine
-	loop     gnet.EventLoop
-	conns    map[platform.Conn]gnet.Conn
-	gentle   int
-	settling bool
-	wake     waker
-	ready    chan struct{} // closed when the loop is known
-	done     chan struct{}
-	failed   error
-	side     sync.WaitGroup // dials
-	cancel   context.CancelFunc
-	ctx      context.Context
-	trace    Trace
+	log    *zap.Logger
+	core   *platform.Core
+	cfg    *platform.Config
+	start  time.Time
+	lis    net.Listener
+	client *gnet.Client
+	loop   gnet.EventLoop
+	conns  map[platform.Conn]gnet.Conn
+	gentle int
+	wake   waker
+	done   chan struct{}
+	once   sync.Once
+	failed error
+	side   sync.WaitGroup // dials and accepts
+	cancel context.CancelFunc
+	ctx    context.Context
+	trace  Trace
+
+	mu      sync.RWMutex // held while something is handed to the loop
+	stopped bool         // it takes no more
+
+	// What the sockets brought since the last turn. Taken together, so that a caller who has gone is known to have gone
+	// before anything is begun for it.
+	inbox   []platform.Input
+	unread  map[platform.Conn]*end // with bytes in the inbox
+	buf     []byte
+	waiting bool // a turn is on its way
 }
 
 // Trace gets all that crosses the sockets: the time since the start, the connection, what happened, and the bytes. A nil
@@ -64,9 +78,13 @@
 // end is what a connection carries along.
 type end struct {
 	id     platform.Conn
+	caller bool // it was accepted
+	known  bool // the loop has it
 	over   bool // the core has closed it
+	gone   bool // a caller's end was seen, behind what it still brought
 	gently bool
-	read   int // bytes since
+	read   int    // bytes since
+	in     []byte // unread by the core
 }
 
 // SetLimits keeps the process within what the platform allows: cores and memory.
@@ -81,62 +99,121 @@
 
 // StartPlatform listens and serves until Stop, or until Tell told the core to end and it has nothing left to do.
 func StartPlatform(cfg *platform.Config, log *zap.Logger, trace Trace) (*Platform, error) {
-	p := &Platform{log: log, cfg: cfg, trace: trace, conns: map[platform.Conn]gnet.Conn{}, ready: make(chan struct{}), done: make(chan struct{})}
+	listener := net.ListenConfig{KeepAlive: -1} // who says nothing is found out by the core
+	lis, err := listener.Listen(context.Background(), "tcp4", cfg.Listen.String())
+	if err != nil {
+		return nil, fmt.Errorf("listening on %v: %w", cfg.Listen, err)
+	}
+	return startPlatform(cfg, log, trace, lis)
+}
+
+func startPlatform(cfg *platform.Config, log *zap.Logger, trace Trace, lis net.Listener) (*Platform, error) {
+	p := &Platform{log: log, cfg: cfg, trace: trace, lis: lis, conns: map[platform.Conn]gnet.Conn{},
+		buf: make([]byte, readAtOnce), unread: map[platform.Conn]*end{}, done: make(chan struct{})}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	p.wake = newWaker(p.fire)
 	p.start = time.Now()
 	p.core = platform.New(cfg, p.start)
-	go func() {
-		defer close(p.done)
-		p.failed = gnet.Run(p, "tcp://"+cfg.Listen.String(), gnet.WithNumEventLoop(1), gnet.WithReuseAddr(true),
-			gnet.WithLogger(quiet{log.Sugar()}))
-	}()
-	// The loop gets to be known by a first connection, which is ours.
-	select {
-	case <-p.ready:
-	case <-p.done:
+	var err error
+	// The listener is ours and not the library's, whose loop ends for good when an accept fails.
+	p.client, err = gnet.NewClient(p, gnet.WithNumEventLoop(1), gnet.WithReadBufferCap(readAtOnce), gnet.WithLogger(quiet{log.Sugar()}))
+	if err == nil {
+		err = p.client.Start()
+	}
+	if err == nil {
+		err = p.findLoop()
+	}
+	if err != nil {
+		lis.Close()
 		p.cancel()
-		return nil, fmt.Errorf("listening on %v: %w", cfg.Listen, errors.Join(p.failed, ErrStopped))
+		if p.client != nil {
+			_ = p.client.Stop() // what went wrong is told already
+		}
+		return nil, fmt.Errorf("serving on %v: %w", cfg.Listen, err)
 	}
+	p.do(p.turn)
+	p.side.Go(p.accept)
 	log.Info("signalling proxy started", zap.String("name", cfg.Name), zap.Stringer("listen", cfg.Listen))
 	return p, nil
 }
 
-func (p *Platform) now() time.Duration { return time.Since(p.start) }
+// findLoop knocks at the own door: the loop gets to be known by a connection on it.
+func (p *Platform) findLoop() error {
+	d := net.Dialer{Timeout: doWait, KeepAlive: -1}
+	conn, err := d.DialContext(p.ctx, "tcp4", p.lis.Addr().String())
+	if err != nil {
+		return err
+	}
+	c, err := p.client.EnrollContext(conn, &end{over: true})
+	if err != nil {
+		return err
+	}
+	p.loop = c.EventLoop()
+	return c.Close()
+}
 
-// OnBoot knocks at the own door.
-func (p *Platform) OnBoot(eng gnet.Engine) gnet.Action {
-	p.engine = eng
-	p.side.Go(func() {
-		d := net.Dialer{Timeout: doWait}
-		if conn, err := d.DialContext(p.ctx, "tcp4", p.cfg.Listen.String()); err == nil {
-			<-p.ready
-			conn.Close()
+// accept takes callers' connections, each once the loop has the one before, so that the core can make room in time. For
+// want of descriptors an accept may still fail; then room is made and the accept tried again after a pause.
+func (p *Platform) accept() {
+	for pauses := 0; ; {
+		conn, err := p.lis.Accept()
+		if err == nil {
+			err = p.enroll(conn, &end{caller: true})
 		}
-	})
-	return gnet.None
+		switch {
+		case err == nil:
+			pauses = 0
+			continue
+		case errors.Is(err, net.ErrClosed) || p.ctx.Err() != nil:
+			return
+		case errors.Is(err, syscall.ECONNABORTED):
+			continue // gone before it was taken
+		}
+		p.log.Warn("connection not accepted", zap.Error(err))
+		p.do(func() { p.core.MakeRoom(p.now()); p.wantTurn() })
+		select {
+		case <-p.ctx.Done():
+			return
+		case <-time.After(acceptPause << min(pauses, acceptPauses)):
+			pauses++
+		}
+	}
+}
+
+// enroll hands a connection to the loop.
+func (p *Platform) enroll(conn net.Conn, e *end) error {
+	if _, err := p.client.EnrollContext(conn, e); err != nil {
+		return err
+	}
+	if !e.known { // the loop could not watch it, which the library keeps to itself
+		return errNotWatched
+	}
+	return nil
 }
 
+var errNotWatched = errors.New("runtime: the loop cannot watch the connection")
+
+func (p *Platform) now() time.Duration { return time.Since(p.start) }
+
 // OnOpen takes a connection that was dialled or accepted.
 func (p *Platform) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
-	if p.loop == nil {
-		p.loop = c.EventLoop()
-		close(p.ready)
+	e := c.Context().(*end)
+	e.known = true
+	if e.over {
+		return nil, gnet.None
 	}
-	if e, ok := c.Context().(*end); ok {
-		p.conns[e.id] = c
-		p.tell(e.id, "up", nil)
-		p.core.Connected(p.now(), e.id)
+	if e.caller {
+		e.id = p.core.Accept(p.now())
+		p.wantTurn()
 	} else {
-		e := &end{id: p.core.Accept(p.now())}
-		c.SetContext(e)
-		p.conns[e.id] = c
+		p.tell(e.id, "up", nil)
+		p.take(e.id, platform.Opened)
 	}
-	p.settle()
+	p.conns[e.id] = c
 	return nil, gnet.None
 }
 
-// OnTraffic hands on what a connection brought.
+// OnTraffic takes what a connection brought.
 func (p *Platform) OnTraffic(c gnet.Conn) gnet.Action {
 	e := c.Context().(*end)
 	b, _ := c.Next(-1) // -1 is all there is, which cannot be too much
@@ -146,18 +223,40 @@
 		}
 		return gnet.None
 	}
-	p.tell(e.id, "<", b)
-	p.core.Receive(p.now(), e.id, b)
-	p.settle()
+	had := len(e.in)
+	if had == 0 {
+		p.take(e.id, platform.Brought)
+		p.unread[e.id] = e
+	}
+	e.in = append(e.in, b...)
+	if e.caller {
+		e.gone = p.readOn(e, c.Fd())
+	}
+	p.tell(e.id, "<", e.in[had:])
 	return gnet.None
 }
 
+// readOn fetches what a caller sent behind what was read, and tells whether its end lies behind that. The loop finds the
+// end again and closes the connection.
+func (p *Platform) readOn(e *end, fd int) (gone bool) {
+	for len(e.in) < callerAtOnce {
+		n, err := unix.Read(fd, p.buf)
+		switch {
+		case err == unix.EINTR:
+		case err == unix.EAGAIN:
+			return false
+		case err != nil || n <= 0:
+			return true
+		default:
+			e.in = append(e.in, p.buf[:n]...)
+		}
+	}
+	return false
+}
+
 // OnClose takes in that a connection is gone.
 func (p *Platform) OnClose(c gnet.Conn, _ error) gnet.Action {
-	e, ok := c.Context().(*end)
-	if !ok {
-		return gnet.None
-	}
+	e := c.Context().(*end)
 	if e.gently {
 		p.gentle--
 	}
@@ -165,35 +264,55 @@
 		e.over = true
 		p.tell(e.id, "closed", nil)
 		delete(p.conns, e.id)
-		p.core.Closed(p.now(), e.id)
-		p.settle()
+		p.take(e.id, platform.Ended)
 	}
 	return gnet.None
 }
 
 // fire is the timer's end; it runs beside the loop.
-func (p *Platform) fire() { p.do(p.wake.rang) }
+func (p *Platform) fire() { p.do(func() { p.wake.rang(); p.turn() }) }
 
-// do runs f on the loop; once the loop has ended there is nothing to do.
+// do runs f on the loop, behind the input of the round that it falls into; once the loop has ended there is nothing to do.
 func (p *Platform) do(f func()) {
-	_ = p.loop.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
-		f()
-		p.settle()
-		return nil
-	}))
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	if p.stopped {
+		return
+	}
+	_ = p.loop.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error { f(); return nil }))
 }
 
-// settle does what is due, carries out what the core wants and sets the timer. A write that fails closes its
-// connection within, which then only tells the core.
-func (p *Platform) settle() {
-	if p.settling {
-		return
+// take puts news aside for the next turn.
+func (p *Platform) take(id platform.Conn, what platform.News) {
+	p.inbox = append(p.inbox, platform.Input{Conn: id, What: what})
+	p.wantTurn()
+}
+
+func (p *Platform) wantTurn() {
+	if !p.waiting {
+		p.waiting = true
+		p.do(func() { p.waiting = false; p.turn() })
 	}
-	p.settling = true
-	now := p.now()
-	if at, ok := p.core.Next(); ok && at <= now {
-		p.core.Advance(now)
+}
+
+// turn tells the core what the sockets brought, carries out what it wants and sets the timer.
+func (p *Platform) turn() {
+	in := p.inbox
+	p.inbox = nil
+	for i, n := range in {
+		if n.What == platform.Brought {
+			e := p.unread[n.Conn]
+			in[i].Bytes, in[i].Gone, e.in = e.in, e.gone, nil
+		}
 	}
+	clear(p.unread)
+	now := p.now()
+	p.core.Round(now, in)
+	p.settle(now)
+}
+
+// settle carries out what the core wants and sets the timer.
+func (p *Platform) settle(now time.Duration) {
 	for outs := p.core.Outputs(); len(outs) > 0; outs = p.core.Outputs() {
 		for _, o := range outs {
 			p.carryOut(o)
@@ -201,7 +320,6 @@
 	}
 	at, ok := p.core.Next()
 	p.wake.want(now, at, ok)
-	p.settling = false
 }
 
 func (p *Platform) carryOut(o platform.Output) {
@@ -244,7 +362,7 @@
 	// To close with bytes unread would reset the connection, and destroy what was just written.
 	e.gently = true
 	p.gentle++
-	time.AfterFunc(gentleFor, func() { _ = c.Close() })
+	time.AfterFunc(gentleFor, func() { p.do(func() { _ = c.Close() }) })
 }
 
 // connect makes a connection beside the loop and hands it over.
@@ -252,41 +370,48 @@
 	d := net.Dialer{Timeout: o.Wait, KeepAlive: -1}
 	conn, err := d.DialContext(p.ctx, "tcp4", o.To.String())
 	if err == nil {
-		var res <-chan gnet.RegisteredResult
-		if res, err = p.loop.Enroll(gnet.NewContext(context.Background(), &end{id: o.Conn}), conn); err == nil {
-			err = (<-res).Err
-		} else {
-			conn.Close()
-		}
+		err = p.enroll(conn, &end{id: o.Conn})
 	}
 	if err == nil {
 		return
 	}
 	why := platform.Silent
-	if errors.Is(err, syscall.ECONNREFUSED) {
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
 		why = platform.Refused
+	case errors.Is(err, syscall.EMFILE), errors.Is(err, errNotWatched):
+		why = platform.NoRoom
 	}
 	p.do(func() {
 		p.tell(o.Conn, "not up", []byte(err.Error()))
 		p.core.NotConnected(p.now(), o.Conn, why)
+		p.wantTurn()
 	})
 }
 
 // Tell runs f on the loop: news for the core from outside, such as signals.
 func (p *Platform) Tell(f func(core *platform.Core, now time.Duration)) {
-	p.do(func() { f(p.core, p.now()) })
+	p.do(func() {
+		f(p.core, p.now())
+		p.wantTurn()
+	})
 }
 
 // Stop ends the proxy at once.
 func (p *Platform) Stop() error {
-	p.cancel()
-	ctx, cancel := context.WithTimeout(context.Background(), doWait)
-	defer cancel()
-	err := p.engine.Stop(ctx)
+	p.once.Do(func() {
+		p.cancel()
+		_ = p.lis.Close()
+		p.side.Wait() // while the loop still takes what they hand over
+		p.mu.Lock()
+		p.stopped = true
+		p.mu.Unlock()
+		p.wake.stop()
+		p.failed = p.client.Stop()
+		close(p.done)
+	})
 	<-p.done
-	p.side.Wait()
-	p.wake.stop()
-	return err
+	return p.failed
 }
 
 // Wait returns when the proxy has ended.
--- /dev/null
+++ b/internal/runtime/platform_order_test.go
@@ -0,0 +1,153 @@
+package runtime
+
+import (
+	"net"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"pipitring/decide"
+	"pipitring/internal/coordinator"
+	"pipitring/internal/jsonl"
+	"pipitring/internal/platform"
+)
+
+// hold stops the proxy's loop, as a process that gets no processor stands still, until the returned function is called.
+// What the tests do meanwhile waits unread in the sockets' buffers: on loopback it is there when the write returns.
+func (s *scene) hold() (release func()) {
+	held, gate := make(chan bool), make(chan bool)
+	s.proxy.Tell(func(*platform.Core, time.Duration) { close(held); <-gate })
+	<-held
+	return func() { close(gate) }
+}
+
+// settled has all that was sent before taken in and acted upon: a call made after it is answered.
+func (s *scene) settled() { s.call(s.dial(), 99) }
+
+// TestNothingLeavesForACallerThatHasGone: while the proxy stands still a caller asks and goes, and a circuit for its
+// call is freed. Whatever the order in which the sockets are read, no set-up may leave for it.
+func TestNothingLeavesForACallerThatHasGone(t *testing.T) {
+	giveUp := string(jsonl.AppendDown(nil, callRef(1), jsonl.Normal, 0))
+	for name, goes := range map[string]func(s *scene, send func(string)){
+		"closes behind its set-up":      func(s *scene, send func(string)) { send(offerLine(1)) },
+		"gives up behind its set-up":    func(s *scene, send func(string)) { send(offerLine(1)); send(giveUp) },
+		"closes, set-up in small parts": func(s *scene, send func(string)) { l := offerLine(1); send(l[:7]); send(l[7:90]); send(l[90:]) },
+		"closes behind much else": func(s *scene, send func(string)) {
+			send(offerLine(1) + strings.Repeat(`{"t":"ack","ref":"00000000000000ff","f":{},"c":0}`+"\n", 3*readAtOnce/48))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newScene(t, 256)
+			p := s.dial()
+			release := s.hold()
+			goes(s, func(text string) {
+				if err := p.Send(text); err != nil {
+					t.Fatal(err)
+				}
+			})
+			if name[0] == 'c' {
+				p.Close()
+			}
+			release()
+			s.settled()
+			if s.saw("new " + callRef(1)) {
+				t.Fatal("a set-up left for a caller that had gone")
+			}
+		})
+	}
+}
+
+// TestACircuitFreedBehindACallersBack: a held call's caller closes, after a circuit was told free that the proxy, standing
+// still, has not read of.
+func TestACircuitFreedBehindACallersBack(t *testing.T) {
+	s := newScene(t, 256)
+	await(t, "the group is full", func() bool {
+		s.sw.Tell(`{"t":"gauge","f":{"load":"x0:0;x1:100"}}` + "\n")
+		return s.believes(func(b decide.Belief) bool { return b.Free == 0 })
+	})
+	p := s.dial()
+	if err := p.Send(offerLine(1)); err != nil {
+		t.Fatal(err)
+	}
+	await(t, "the call is held", func() bool {
+		held := make(chan bool)
+		s.proxy.Tell(func(core *platform.Core, _ time.Duration) { held <- core.Held() == 1 })
+		return <-held
+	})
+	release := s.hold()
+	s.sw.Tell(`{"t":"gauge","f":{"load":"x0:100;x1:100"}}` + "\n")
+	p.Close()
+	release()
+	s.settled()
+	if s.saw("new " + callRef(1)) {
+		t.Fatal("a set-up left for a caller that had gone")
+	}
+}
+
+// TestADrainToldBesideASetUp: both are unread when the proxy comes back, the set-up first. The switch is told to drain.
+func TestADrainToldBesideASetUp(t *testing.T) {
+	s := newScene(t, 256)
+	await(t, "the coordinator is asked", func() bool { return len(s.coord.Asked()) > 0 })
+	s.settled()
+	p := s.dial()
+	await(t, "the caller is taken", func() bool { return s.callers() > 1 })
+	release := s.hold()
+	if err := p.Send(offerLine(1)); err != nil {
+		t.Fatal(err)
+	}
+	s.coord.Tell(coordinator.Event{Number: 2, Entries: []coordinator.Entry{{ID: 1, Addr: s.sw.Addr(), Number: 1, Phase: decide.Draining}}})
+	release()
+	s.expect(p, jsonl.Down, 1)
+	if s.saw("new " + callRef(1)) {
+		t.Fatal("a set-up left for a switch that was told to drain")
+	}
+}
+
+// lacking is a listener whose accepts fail for want of descriptors at first.
+type lacking struct {
+	net.Listener
+	fail int
+}
+
+func (l *lacking) Accept() (net.Conn, error) {
+	if l.fail--; l.fail >= 0 {
+		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	return l.Listener.Accept()
+}
+
+// TestAcceptsThatFailDoNotEndTheListener: the library's own listener ended the process for good.
+func TestAcceptsThatFailDoNotEndTheListener(t *testing.T) {
+	s := sceneOn(t, 256, func(lis net.Listener) net.Listener { return &lacking{lis, 5} })
+	s.call(s.dial(), 1)
+}
+
+// TestStopWaitsForWhatIsBeingHandedOver: a connection that is on its way to the loop when the proxy stops leaves nothing
+// behind; TestMain looks for goroutines.
+func TestStopWaitsForWhatIsBeingHandedOver(t *testing.T) {
+	s := newScene(t, 256)
+	release := s.hold()
+	p := s.dial()
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.proxy.Stop() }()
+	release()
+	if err := <-stopped; err != nil {
+		t.Fatal(err)
+	}
+	if _, err := p.Receive(); err == nil {
+		t.Fatal("it answers after its end")
+	}
+	s.proxy.Tell(func(*platform.Core, time.Duration) { t.Error("something is done after the end") })
+}
+
+// TestStartPlatformSaysWhatIsInTheWay: the address is taken.
+func TestStartPlatformSaysWhatIsInTheWay(t *testing.T) {
+	s := newScene(t, 256)
+	if _, err := StartPlatform(s.cfg, zap.NewNop(), nil); err == nil {
+		t.Fatal("two listen at one address")
+	}
+}
--- a/internal/runtime/platform_test.go
+++ b/internal/runtime/platform_test.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -24,6 +25,7 @@
 type scene struct {
 	t     *testing.T
 	proxy *Platform
+	cfg   *platform.Config
 	at    netip.AddrPort
 	sw    *standin.PlatformSwitch
 	coord *standin.PlatformCoordinator
@@ -43,6 +45,19 @@
 	}
 }
 
+// believes asks what the module holds true of a far end.
+func (s *scene) believes(f func(decide.Belief) bool) bool {
+	found := make(chan bool)
+	s.proxy.Tell(func(core *platform.Core, now time.Duration) { found <- slices.ContainsFunc(core.Beliefs(now), f) })
+	return <-found
+}
+
+func (s *scene) callers() int {
+	n := make(chan int)
+	s.proxy.Tell(func(core *platform.Core, _ time.Duration) { n <- core.Callers() })
+	return <-n
+}
+
 func (s *scene) saw(what string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -55,6 +70,12 @@
 }
 
 func newScene(t *testing.T, sockets int) *scene {
+	t.Helper()
+	return sceneOn(t, sockets, func(lis net.Listener) net.Listener { return lis })
+}
+
+// sceneOn has the proxy accept on what wrap makes of its listener.
+func sceneOn(t *testing.T, sockets int, wrap func(net.Listener) net.Listener) *scene {
 	t.Helper()
 	s := &scene{t: t}
 	var err error
@@ -71,7 +92,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if s.proxy, err = StartPlatform(cfg, zap.NewNop(), nil); err != nil {
+	s.cfg = cfg
+	lis, err := net.Listen("tcp4", s.at.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.proxy, err = startPlatform(cfg, zap.NewNop(), nil, wrap(lis)); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = s.proxy.Stop() })
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -120,6 +120,15 @@
 // Addr is where it listens.
 func (s *PlatformSwitch) Addr() netip.AddrPort { return s.lis.Addr().(*net.TCPAddr).AddrPort() }
 
+// Tell sends a line on every connection.
+func (s *PlatformSwitch) Tell(line string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for p := range s.peers {
+		_ = p.Send(line) // a lost connection shows where it is read
+	}
+}
+
 // Reset resets every connection; the switch goes on.
 func (s *PlatformSwitch) Reset() {
 	s.mu.Lock()
