A caller's end found twice in a round counts once; a freed turn is not taken for another departed call

Seen in the reread: a close found behind bytes and again as the connection's end, in one round, gave the same calls up twice (open counted -1; round.go, departures). Change: who is gone already is not taken again; tests for that, for a close that is only found by reading on, and for a cold switch's turn that one departure would hand to the next call of the same caller.

--- a/internal/platform/departed_test.go
+++ b/internal/platform/departed_test.go
@@ -14,6 +14,8 @@
 func TestAGiveUpInTheSamePiece(t *testing.T) {
 	b := upBed(t)
 	p, sw := b.accept(), b.switches[1]
+	b.round(Input{Conn: p, What: Brought, Bytes: piece(setUp(7, 1, ""))}, Input{Conn: p, What: Brought, Bytes: piece(down(7, 16, ""), down(7, 16, ""))})
+	b.want(sw)
 	b.send(p, setUp(1, 1, ""), setUp(2, 1, ""), down(1, 16, ""), setUp(3, 1, ""), down(9, 16, ""), down(3, 16, ""))
 	b.want(sw, "new 2")
 	b.want(p)
@@ -39,14 +41,12 @@
 	b.want(sw, "new 1", "new 2", "new 3", "new 4")
 	b.want(p, "up 1")
 	b.want(q, "up 3", "up 4")
-	b.round(Input{Conn: p, What: Brought, Bytes: piece(setUp(5, 1, ""), down(3, 16, ""), setUp(6, 1, "")), Gone: true})
+	b.round(Input{Conn: p, What: Brought, Bytes: piece(setUp(5, 1, ""), down(3, 16, ""), setUp(6, 1, "")), Gone: true}, Input{Conn: p, What: Ended})
 	b.want(sw, "down 2 16", "down 3 16")
 	b.want(p)
 	b.send(sw, down(1, 16, "")) // its own connection has gone
 	b.want(p)
 	b.want(q, "down 1 16")
-	b.Closed(b.at, p)
-	b.take()
 	b.send(q, down(4, 16, ""))
 	b.want(sw, "down 4 16")
 	b.quiet()
@@ -107,6 +107,34 @@
 	}
 }
 
+// TestWhatOneDepartureFreesIsNotUsedForAnother: a caller goes with a call that is out and one that waits for its turn at a
+// cold switch. The process has stood still, so the turn has come; it is not taken because the first call was called off.
+func TestWhatOneDepartureFreesIsNotUsedForAnother(t *testing.T) {
+	b := upBed(t)
+	p, sw := b.accept(), b.switches[1]
+	fresh := entry(1, 1, 2, decide.Ready)
+	fresh.Started = b.wall.UnixMilli()
+	b.list(2, fresh)
+	n := 0
+	for b.Held() == 0 || len(b.lines[sw]) == 0 {
+		if b.Held() == 1 { // not one out yet: its turn comes
+			b.pass(10 * ms)
+			continue
+		}
+		n++
+		b.send(p, setUp(n, 1, ""))
+	}
+	out := len(b.got(sw))
+	b.at += 900 * ms // the waiting call's patience is longer
+	b.round(Input{Conn: p, What: Ended})
+	for _, m := range b.got(sw) {
+		if m.Type == jsonl.New {
+			t.Fatalf("of %d calls %d were out; %s left for a caller that had gone", n, out, m.Ref)
+		}
+	}
+	b.quiet()
+}
+
 // TestWantOfDescriptorsSaysNothingOfASwitch: a connection that could not be made for want of descriptors ends no call and
 // leaves the attempt that waits for it, has a silent caller's connection ended, and is tried again.
 func TestWantOfDescriptorsSaysNothingOfASwitch(t *testing.T) {
--- a/internal/platform/round.go
+++ b/internal/platform/round.go
@@ -68,7 +68,7 @@
 			continue
 		}
 		p.takeIn(i.Bytes)
-		if i.Gone || i.What == Ended {
+		if !p.gone && (i.Gone || i.What == Ended) {
 			p.gone = true
 			gone = append(gone, c.openOn(p)...)
 		}
@@ -84,5 +84,5 @@
 			}
 		}
 	}
-	c.left(slices.Compact(gone))
+	c.left(gone)
 }
--- a/internal/runtime/platform_order_test.go
+++ b/internal/runtime/platform_order_test.go
@@ -61,6 +61,37 @@
 	}
 }
 
+// TestACloseBehindASetUpInARoundWithOtherWork: the loop is held while it reads another caller, and meanwhile a caller asks and
+// goes and work is queued for the loop, so that the next round reads the set-up and acts at once. The close has to be found
+// in that same round.
+func TestACloseBehindASetUpInARoundWithOtherWork(t *testing.T) {
+	s := newScene(t, 256)
+	p, q := s.dial(), s.dial()
+	await(t, "both are taken", func() bool { return s.callers() >= 2 })
+	held, gate := make(chan bool), make(chan bool)
+	var hold Trace = func(_ time.Duration, _ platform.Conn, what string, b []byte) {
+		if what == "<" && strings.HasPrefix(string(b), `{"t":"ack"`) {
+			close(held)
+			<-gate
+		}
+	}
+	s.trace.Store(&hold)
+	if err := q.Send(`{"t":"ack","ref":"00000000000000ff","f":{},"c":0}` + "\n"); err != nil {
+		t.Fatal(err)
+	}
+	<-held
+	if err := p.Send(offerLine(1)); err != nil {
+		t.Fatal(err)
+	}
+	p.Close()
+	s.proxy.Tell(func(*platform.Core, time.Duration) {})
+	close(gate)
+	s.settled()
+	if s.saw("new " + callRef(1)) {
+		t.Fatal("a set-up left for a caller that had gone")
+	}
+}
+
 // TestACircuitFreedBehindACallersBack: a held call's caller closes, after a circuit was told free that the proxy, standing
 // still, has not read of.
 func TestACircuitFreedBehindACallersBack(t *testing.T) {
--- a/internal/runtime/platform_test.go
+++ b/internal/runtime/platform_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -29,6 +30,7 @@
 	at    netip.AddrPort
 	sw    *standin.PlatformSwitch
 	coord *standin.PlatformCoordinator
+	trace atomic.Pointer[Trace] // called on the loop for what crosses the sockets, as soon as it is read
 	mu    sync.Mutex
 	seen  []string // set-ups and releases at the switch
 }
@@ -45,6 +47,12 @@
 	}
 }
 
+func (s *scene) traced(at time.Duration, id platform.Conn, what string, b []byte) {
+	if f := s.trace.Load(); f != nil {
+		(*f)(at, id, what, b)
+	}
+}
+
 // believes asks what the module holds true of a far end.
 func (s *scene) believes(f func(decide.Belief) bool) bool {
 	found := make(chan bool)
@@ -97,7 +105,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if s.proxy, err = startPlatform(cfg, zap.NewNop(), nil, wrap(lis)); err != nil {
+	if s.proxy, err = startPlatform(cfg, zap.NewNop(), s.traced, wrap(lis)); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = s.proxy.Stop() })
