Connections that speak are not taken for silent: a fleet no longer makes them anew at each change

Every change of a group comes on all connections of a switch. At fault: link.spoke (switches.go) set all others to owe a line at each report, also those that had just brought it and, at a first report on a new one, those that nothing was told. Each was deaf 200 ms later, another was opened, its first report closed the deaf ones and set the rest to owe, and so on. Harmless in one proxy of six; in a fleet of thin traffic it cut calls. Now a line is expected only of those that brought none in the last 50 ms.

Also: `tenant` of a set-up is read (its name on the sockets is in the platform's names file); without one a call is nobody's, and not, as before, the first tenant's. Both parts of the condition taken out: the new test fails.

--- a/internal/platform/callers.go
+++ b/internal/platform/callers.go
@@ -230,6 +230,13 @@
 		return o, false
 	}
 	o.Class, o.Patience = class, time.Duration(left)*time.Millisecond
+	// A call without a tenant is nobody's; one of a tenant that the settings do not have is a mistake.
+	o.Tenant = decide.Unknown
+	if tenants := p.core.cfg.Setup.Tenants; len(tenants) > 0 && m.Fields["tenant"] != "" {
+		if o.Tenant = slices.Index(tenants, m.Fields["tenant"]); o.Tenant < 0 {
+			return o, false
+		}
+	}
 	o.Dest, o.Width, o.Advised = decide.Unknown, p.core.cfg.Setup.Settings.Classes[class].Width, decide.Unknown
 	if key, has := m.Fields["key"]; has {
 		n, err := strconv.ParseUint(key, 16, 64)
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -335,6 +335,42 @@
 }
 
 // TestAHungSwitchKeepsItsConnections: all fall silent together, and speak again together.
+// TestChangesToldOnAllConnectionsLeaveThemAlone: a change of the group comes on each of them in turn, whichever is first,
+// and a first report on a new one is for that one. None of them has fallen silent for that, or each change would make
+// a fleet's connections anew.
+func TestChangesToldOnAllConnectionsLeaveThemAlone(t *testing.T) {
+	b := upBed(t)
+	links := []Conn{b.switches[1]}
+	for range 2 {
+		b.pass(300 * ms)
+		if len(b.dialled()) > 0 {
+			t.Fatal("a first report set the others to speak")
+		}
+		b.Core.switches[1].connect()
+		d := b.dialled()[0]
+		b.connect(d)
+		links = append(links, d.Conn)
+	}
+	b.dialled()
+	for i := range 20 {
+		for j := range links {
+			b.send(links[(i+j)%3], fmt.Sprintf(`{"t":"gauge","f":{"load":"idle:%d;circuits:10"}}`, i%10))
+			b.pass(ms)
+		}
+		b.pass(time.Duration(50+25*i) * ms)
+	}
+	for _, d := range b.dialled() {
+		if d.To.Port() != 7070 { // the coordinator says nothing here, and is asked again
+			t.Errorf("dialled %v", d.To)
+		}
+	}
+	for _, l := range links {
+		if b.closed[l] {
+			t.Errorf("closed %d", l)
+		}
+	}
+}
+
 func TestAHungSwitchKeepsItsConnections(t *testing.T) {
 	b := upBed(t)
 	p, old := b.accept(), b.switches[1]
--- a/internal/platform/switches.go
+++ b/internal/platform/switches.go
@@ -73,9 +73,10 @@
 	out   map[string]*attempt // set-ups out on it
 	ended bool
 
-	owes  time.Duration // it should have brought a line since then; 0 is owing nothing
-	deaf  bool          // and has not for long
-	check timers.Entry[func()]
+	owes     time.Duration // it should have brought a line since then; 0 is owing nothing
+	deaf     bool          // and has not for long
+	lastLine time.Duration // when it last brought a whole line; 0 is never
+	check    timers.Entry[func()]
 }
 
 // expect notes that a line should come on a connection.
@@ -104,10 +105,12 @@
 	}
 }
 
-// spoke notes that a whole line came on a connection. A change of the group is told on all of them; those that should
+// spoke notes that a whole line came on a connection. A change of the group is told on all of them at once, so one that
+// brought nothing just now either should soon. The first report on a new one is for that one alone. Those that should
 // have spoken long ago are of no use.
 func (l *link) spoke(group bool) {
-	l.owes, l.deaf = 0, false
+	now, first := l.to.core.now, l.lastLine == 0
+	l.owes, l.deaf, l.lastLine = 0, false, max(1, now)
 	for _, o := range l.to.links {
 		switch {
 		case o == l:
@@ -117,7 +120,7 @@
 					o.spoil()
 				}
 			})
-		case group:
+		case group && !first && o.lastLine < now-deafProof:
 			o.expect()
 		}
 	}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -15,6 +15,7 @@
 	Fields   []string // names of a load report's values
 	Classes  []string // names, as callers on sockets give them
 	Zones    []string
+	Tenants  []string // names, as callers on sockets give them
 
 	ConnectTimeout time.Duration // a connection that is not up after this is given up
 	MaxOpen        int           // calls that an instance may hold open; 0 is no limit
@@ -49,7 +50,10 @@
 		AimS, DeadlineS, LateValue, Value, WindowS float64
 		KeyScope, Name, Repeat                     string
 	}
-	Realms    []struct{ QuotaPerS float64 }
+	Realms []struct {
+		Name      string
+		QuotaPerS float64
+	}
 	Telemetry struct {
 		Fields []string
 	}
@@ -78,7 +82,7 @@
 		return Setup{}, fmt.Errorf("settings: familyInfo.holdingS has %d values for %d classes",
 			len(t.FamilyInfo.HoldingS), len(t.Profiles))
 	}
-	var names []string
+	var names, tenants []string
 	for i, p := range t.Profiles {
 		c := decide.Class{
 			Hold: Seconds(t.FamilyInfo.HoldingS[i]), Width: 1, Aim: Seconds(p.AimS),
@@ -94,11 +98,12 @@
 	}
 	for _, r := range t.Realms {
 		s.Tenants = append(s.Tenants, decide.Tenant{Quota: r.QuotaPerS})
+		tenants = append(tenants, r.Name)
 	}
 	if err := s.Validate(); err != nil {
 		return Setup{}, fmt.Errorf("settings: %w", err)
 	}
-	return Setup{Settings: s, Fields: t.Telemetry.Fields, Classes: names, Zones: t.FailureDomains,
+	return Setup{Settings: s, Fields: t.Telemetry.Fields, Classes: names, Zones: t.FailureDomains, Tenants: tenants,
 		ConnectTimeout: Seconds(t.Limits.ConnectTimeoutS), MaxOpen: t.Limits.MaxOpen}, nil
 }
 
