--- /dev/null
+++ b/decide/cold_fleet_test.go
@@ -0,0 +1,154 @@
+package decide
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+)
+
+// coldFleet is a fleet whose proxies share one far end's work; that starts anew, cold, at the middle of the run.
+type coldFleet struct {
+	proxies  int
+	uneven   float64 // the largest share over the smallest, falling evenly
+	demand   float64 // calls after the start, in times the usual
+	fresh    bool    // the proxies start with the far end, with no history of their own
+	transit  float64 // part of the calls that come in transit
+	uncalled bool    // nobody calls until three seconds after the start: every budget has filled
+}
+
+// play returns the most set-ups that reached the starting processor within the rule's window, beside what it was allowed.
+func (f coldFleet) play(t *testing.T, s Settings, usual, busy float64, window time.Duration) (worst float64, text string) {
+	t.Helper()
+	rng := uint64(f.proxies)*7919 + uint64(f.demand*13) + uint64(f.uneven)
+	draw := func() float64 { rng += 0x9e3779b97f4a7c15; return float64(mix(rng)>>11) / (1 << 53) }
+	shares, sum := make([]float64, f.proxies), 0.0
+	for i := range shares {
+		shares[i] = math.Pow(max(f.uneven, 1), -float64(i)/float64(f.proxies))
+		sum += shares[i]
+	}
+	hold := s.Classes[0].Hold.Seconds()
+	type proxy struct {
+		c    *Controller
+		rate float64
+		size float64
+	}
+	const far = 1
+	start := 60 * time.Second
+	fleet := make([]*proxy, f.proxies)
+	for i := range fleet {
+		p := &proxy{rate: usual * shares[i] / sum}
+		load := p.rate * hold
+		p.size = math.Ceil(load + 1.2*math.Sqrt(load))
+		s := s
+		s.Own, s.Proxies = 100+i, f.proxies
+		p.c = New(s, uint64(i)*31+rng)
+		fleet[i] = p
+	}
+	var sentAt []time.Duration
+	type stand struct {
+		p    *proxy
+		call CallID
+		ex   ExchangeID
+		no   int
+	}
+	ends := map[time.Duration][]stand{}
+	const step = 10 * time.Millisecond
+	call := CallID(0)
+	begin := time.Duration(0)
+	if f.fresh {
+		begin = start
+	}
+	epoch := time.Hour
+	carry := func(p *proxy, now time.Duration, acts []Action) {
+		for _, a := range acts {
+			if a, ok := a.(SetUp); ok {
+				if now >= start {
+					sentAt = append(sentAt, now)
+				}
+				p.c.Feed(epoch+now, Standing{Call: a.Call, Attempt: 0, Exchange: a.Exchange, Took: 50 * ms})
+				end := now + time.Duration(-hold*math.Log(1-draw())*float64(time.Second))/step*step + step
+				ends[end] = append(ends[end], stand{p, a.Call, a.Exchange, 0})
+			}
+		}
+	}
+	for _, p := range fleet {
+		e := Entry{Exchange: 1000, Number: far, Phase: Ready}
+		if f.fresh {
+			e = Entry{Exchange: 2000, Number: far, Phase: Ready, Started: epoch + start}
+		}
+		p.c.Feed(epoch+begin, List{Kind: ListCached, Entries: []Entry{{Exchange: 1, Number: p.c.s.Own, Phase: Ready}, e}})
+		p.c.Feed(epoch+begin, Reported{Exchange: e.Exchange, Report: Report{Free: p.size, Size: p.size}})
+	}
+	for now := begin; now < start+s.ColdFor; now += step {
+		if now == start && !f.fresh {
+			for _, p := range fleet {
+				p.c.Feed(epoch+now, List{Kind: ListChanges, Entries: []Entry{{Exchange: 1000, Number: far, Phase: Gone},
+					{Exchange: 2000, Number: far, Phase: Ready, Started: epoch + now}}})
+				p.c.Feed(epoch+now, Reported{Exchange: 2000, Report: Report{Free: p.size, Size: p.size}})
+			}
+			clear(ends) // what stood was cut
+		}
+		for _, e := range ends[now] {
+			e.p.c.Feed(epoch+now, Ended{Call: e.call, Attempt: e.no, Exchange: e.ex, Outcome: Completed, Concluded: true,
+				Report: Report{Free: math.Min(e.p.size, 1), Size: e.p.size}})
+		}
+		for _, p := range fleet {
+			k := 1.0
+			if now >= start {
+				k = f.demand
+				if f.uncalled && now < start+3*time.Second {
+					k = 0
+				}
+			}
+			for x := p.rate * k * step.Seconds(); draw() < x; x-- {
+				call++
+				transit := draw() < f.transit
+				carry(p, now, p.c.Feed(epoch+now, Offer{Call: call, Dest: far, Width: 1, Advised: Unknown, Patience: 9 * time.Second,
+					Transit: transit, Tenant: Unknown}))
+			}
+			if now%tick == 0 {
+				carry(p, now, p.c.Feed(epoch+now, TimerDue{tokenTick}))
+			}
+			if now >= start && now%(200*ms) == 0 {
+				p.c.Feed(epoch+now, Reported{Exchange: 2000, Report: Report{Free: p.size, Size: p.size}}) // room enough: only the guard holds back
+			}
+		}
+	}
+	for i, from := range sentAt {
+		n := 0
+		for _, at := range sentAt[i:] {
+			if at < from+window {
+				n++
+			}
+		}
+		// How it grows is not told; evenly, as the module takes it, and judged by the window's beginning.
+		g := s.ColdFrom + (1-s.ColdFrom)*(from-start).Seconds()/s.ColdFor.Seconds()
+		allowed := s.FallMultiple * usual / busy * g * window.Seconds()
+		most := allowed + 2*math.Sqrt(allowed) + 2
+		if r := float64(n) / most; r > worst {
+			worst, text = r, fmt.Sprintf("%d within %v from %v after the start, allowed %.1f, with chance %.1f", n, window, from-start, allowed, most)
+		}
+	}
+	return worst, text
+}
+
+// TestColdFleetKeepsItsBudget: the rule counts what all proxies send together: N in the window, and 2·√N + 2 of chance.
+func TestColdFleetKeepsItsBudget(t *testing.T) {
+	unlike := settings()
+	unlike.ColdFrom, unlike.ColdFor, unlike.FallMultiple = 0.25, 8*time.Second, 2.5
+	unlike.Classes[0].Hold = 4 * time.Second
+	for _, n := range []int{8, 30, 48} {
+		for _, f := range []coldFleet{{demand: 1}, {demand: 10}, {demand: 10, uneven: 30}, {demand: 10, transit: 0.4}, {demand: 10, fresh: true},
+			{demand: 10, fresh: true, uneven: 30}, {demand: 10, uncalled: true}, {demand: 10, uncalled: true, fresh: true}} {
+			f.proxies = n
+			for i, s := range []Settings{settings(), unlike} {
+				for _, window := range []time.Duration{1500 * ms, 3 * time.Second} {
+					if worst, text := f.play(t, s, 13, 0.8, window); worst == 0 || worst > 1 {
+						t.Errorf("settings %d, %+v: %s", i, f, text)
+					}
+				}
+			}
+		}
+	}
+}
