--- a/internal/platform/core.go
+++ b/internal/platform/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"time"
 
@@ -112,6 +113,7 @@
 	Stats Stats
 
 	cfg   *Config
+	rng   *rand.Rand
 	ctl   *decide.Controller
 	wall  time.Time // at time 0
 	now   time.Duration
@@ -151,7 +153,7 @@
 
 // New makes a proxy at time 0, which is wall on the wall's clock.
 func New(cfg *Config, wall time.Time) *Core {
-	c := &Core{cfg: cfg, wall: wall, ctl: decide.New(cfg.Setup.Settings, cfg.Seed),
+	c := &Core{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 0)), wall: wall, ctl: decide.New(cfg.Setup.Settings, cfg.Seed),
 		calls: map[string]*call{}, byID: map[decide.CallID]*call{}, callers: map[Conn]*caller{}, classes: map[string]int{},
 		switches: map[decide.ExchangeID]*far{}, links: map[Conn]*link{}, early: map[string]early{}}
 	for i, name := range cfg.Setup.Classes {
@@ -161,7 +163,7 @@
 	c.takeList(decide.ListCached, cfg.Known)
 	c.coord.begin(c, cfg.Last)
 	c.keeper.Value = c.keepHouse
-	c.queue.Set(&c.keeper, houseKeeping)
+	c.queue.Set(&c.keeper, c.jitter(houseKeeping))
 	c.after(reportEvery, c.reportLine)
 	return c
 }
@@ -251,6 +253,11 @@
 	}
 }
 
+// jitter is a time between half of d and d, so that a fleet does not do in one instant what each of it does for one cause.
+func (c *Core) jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(c.rng.Int64N(int64(d/2)+1))
+}
+
 func (c *Core) after(d time.Duration, f func()) {
 	c.queue.Set(&timers.Entry[func()]{Value: f}, c.now+max(d, 0))
 }
--- a/internal/platform/listfeed.go
+++ b/internal/platform/listfeed.go
@@ -49,7 +49,7 @@
 	}
 	wait := max(l.pause, listPause)
 	l.pause = min(2*wait, listPauseMost)
-	l.core.after(wait, func() {
+	l.core.after(l.core.jitter(wait), func() {
 		if l.conn == 0 {
 			l.connect()
 		}
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -639,6 +640,44 @@
 }
 
 // TestWarmAndColdSwitches: starts are Unix time; 0, and what is older than the cold time, is warm.
+// TestAFleetsDialsAreSpread: proxies that lose the coordinator in one instant ask again at times of their own, which the
+// seed alone decides.
+func TestAFleetsDialsAreSpread(t *testing.T) {
+	asked := func(seed string) (at []time.Duration) {
+		cfg, err := ParseConfig([]byte(strings.Replace(config, "8c1f30d27a5be964", seed, 1)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		c := New(cfg, time.UnixMilli(1_700_000_000_000))
+		for now := time.Duration(0); now < 3*time.Second; now += ms {
+			c.Advance(now)
+			for _, o := range c.Outputs() {
+				if d, ok := o.(Dial); ok && d.To.Port() == 7070 {
+					at = append(at, now)
+					c.NotConnected(now, d.Conn, Refused)
+				}
+			}
+		}
+		return at
+	}
+	times := map[time.Duration]int{}
+	for seed := range 48 {
+		at := asked(fmt.Sprintf("%x", seed+1))
+		if n := len(at); n < 5 || n > 12 {
+			t.Fatalf("asked %d times in 3 s", n)
+		}
+		times[at[4]]++
+	}
+	for at, n := range times {
+		if n > 6 {
+			t.Errorf("%d of 48 ask for the fifth time at %v", n, at)
+		}
+	}
+	if !slices.Equal(asked("5"), asked("5")) {
+		t.Error("one seed, two courses")
+	}
+}
+
 func TestWarmAndColdSwitches(t *testing.T) {
 	b := newBed(t)
 	b.pass(2 * time.Second)
--- a/internal/platform/switches.go
+++ b/internal/platform/switches.go
@@ -218,7 +218,7 @@
 func (f *far) redial() {
 	f.pause = min(max(2*f.pause, linkPause), linkPauseMax)
 	f.retry = true
-	f.core.after(f.pause, func() {
+	f.core.after(f.core.jitter(f.pause), func() {
 		f.retry = false
 		f.keepUp()
 	})
