A switch that drains keeps its calls: a refused connection is no sign of a vanished machine

Followed by its id through a trace: a draining switch refuses new connections, says nothing on those it has, and 5 s later its calls were taken for over, some 0.3 s before it stopped by itself. At fault: far.watch and far.notUp (switches.go), where any dial that failed counted as silence. Now only one that nothing came back to does. So where a new connection is refused beside old ones, after a reset or long silence, a test is asked; no line within a second, and the calls are over. A reset followed by a connection that does not come up counts for dead only after the second that connections may be late.

Also: a call over maxOpen is refused with a time to come back; the library sets no option that could fail and leave a descriptor open.

--- a/internal/jsonl/message.go
+++ b/internal/jsonl/message.go
@@ -225,6 +225,11 @@
 	return append(b, "}\n"...)
 }
 
+// AppendTest adds a test, without a report.
+func AppendTest(b []byte, ref uint64) []byte {
+	return fmt.Appendf(b, `{"t":"hb","ref":"%016x","f":{},"c":0}`+"\n", ref)
+}
+
 // AppendTested adds the answer to a test, with the reference of the test where it had one.
 func AppendTested(b []byte, ref string, passed bool) []byte {
 	b = append(b, `{"t":"hb_ok",`...)
--- a/internal/platform/callers.go
+++ b/internal/platform/callers.go
@@ -333,12 +333,20 @@
 	c.sendHomeless(p)
 	if most := c.cfg.Setup.MaxOpen; most > 0 && c.open >= most {
 		c.Stats.Refused++
-		p.down(m.Ref, jsonl.Congestion, 0)
+		p.down(m.Ref, jsonl.Congestion, c.stayAway())
 		return
 	}
 	c.offer(p, m, o)
 }
 
+// stayAway is the time that a caller is told to stay away where the settings allow it.
+func (c *Core) stayAway() time.Duration {
+	if s := c.cfg.Setup.Settings; s.RetryAfter {
+		return c.jitter(s.MaxStayAway)
+	}
+	return 0
+}
+
 // release ends what a caller names: an open set-up, which only its own connection may give up, or a standing call.
 func (p *caller) release(m *jsonl.Message) {
 	k := p.core.calls[m.Ref]
--- a/internal/platform/switches.go
+++ b/internal/platform/switches.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"iter"
 	"net/netip"
 	"slices"
@@ -23,11 +24,13 @@
 	linkPauseMax = 800 * time.Millisecond // up to this
 	linkWait     = 500 * time.Millisecond // for a connection to come up, where no setting says
 	// A machine that vanished says nothing, and nor does a connection that is of no further use. Where calls stand and
-	// nothing was heard for quietFor on a single connection, or for silentFor on several, a new one proves life; where
-	// none comes up for vanishedFor, the calls are over.
+	// nothing was heard for quietFor on a single connection, or for silentFor on several, a new one proves life, and so
+	// does its refusal: a switch that drains takes no more. Where none comes up for vanishedFor, the calls
+	// are over.
 	quietFor    = 300 * time.Millisecond
 	silentFor   = 1500 * time.Millisecond
 	vanishedFor = 5 * time.Second
+	lateUp      = time.Second // connections come up, and processors under load answer a test, as late as this
 	// A switch tells a release also on the next connection that is opened. What it wrote before it saw the loss of one
 	// is told only by a connection opened after that, so one is made this long after a loss.
 	lossSeen    = 150 * time.Millisecond
@@ -56,8 +59,10 @@
 	heard     time.Duration // the last message from it
 	probed    time.Duration
 	heardFrom bool
-	down      bool // the last dial failed
-	broken    bool // the far end closed or reset the last connection
+	down      bool          // the last dial failed,
+	mute      bool          // and nothing came back
+	broken    time.Duration // when the far end closed or reset the last connection; 0 is not
+	asked     time.Duration // when a test was asked that nothing has answered yet; 0 is none
 	waiting   []*attempt
 	standing  int
 	unsent    []byte        // releases that wait for a connection
@@ -109,6 +114,9 @@
 // brought nothing just now either should soon. The first report on a new one is for that one alone. Those that should
 // have spoken long ago are of no use.
 func (l *link) spoke(group bool) {
+	if l.to.asked != 0 {
+		l.to.asked, l.to.broken = 0, 0 // it is there, whatever ended
+	}
 	now, first := l.to.core.now, l.lastLine == 0
 	l.owes, l.deaf, l.lastLine = 0, false, max(1, now)
 	for _, o := range l.to.links {
@@ -177,7 +185,7 @@
 
 // up takes a connection that was made.
 func (f *far) up(l *link) {
-	f.dialling, f.pause, f.down, f.broken = 0, 0, false, false
+	f.dialling, f.pause, f.down, f.mute, f.broken = 0, 0, false, false, 0
 	if f.dialledAt >= f.again {
 		f.again = 0
 	}
@@ -196,8 +204,9 @@
 	f.keepUp()
 }
 
-// notUp takes in that no connection came up. Refused, the process is dead, and its calls with it; so it is where it
-// ended its last connection and takes no new one. A machine that vanished leaves its connections open.
+// notUp takes in that no connection came up. Refused without one, the process is dead, and its calls with it; so it is
+// where it ended its last connection and takes no new one. Refused beside others it drains: it takes no more, but is there.
+// A machine that vanished leaves its connections open.
 func (f *far) notUp(l *link, why DialError) {
 	f.dialling = 0
 	delete(f.core.links, l.id)
@@ -206,14 +215,54 @@
 		f.redial()
 		return
 	}
-	f.down = true
+	f.down, f.mute = true, why == Silent
 	f.endWaiting(decide.Unreachable)
-	if len(f.links) == 0 && (why == Refused || f.broken) {
-		f.cutAll()
+	switch {
+	case len(f.links) == 0 && (why == Refused || f.broken != 0 && f.core.now-f.broken > lateUp):
+		f.cutAll("takes no connection")
+	case len(f.links) > 0 && why == Refused && f.standing > 0:
+		f.test()
 	}
 	f.redial()
 }
 
+// test looks whether a switch that takes no new connection is there still. It may drain, and say nothing as no set-up
+// comes; or its process is dead and what is left are connections that were of no use when it died, which no reset ends. A
+// test costs the far end work, so one is asked only once another connection was ended or nothing was heard for long: first
+// where it spoke last, then on all, and where no line comes the calls are over.
+func (f *far) test() {
+	c := f.core
+	if f.asked != 0 || f.broken == 0 && c.now-f.heard < vanishedFor {
+		return
+	}
+	asked := max(1, c.now)
+	f.asked = asked
+	newest := slices.MaxFunc(f.links, func(a, b *link) int { return cmp.Compare(a.lastLine, b.lastLine) })
+	newest.test()
+	c.after(deafAfter, func() {
+		for _, l := range f.links {
+			if f.asked == asked && l != newest {
+				l.test()
+			}
+		}
+	})
+	c.after(lateUp, func() {
+		if f.asked != asked {
+			return
+		}
+		f.asked = 0
+		for _, l := range slices.Clone(f.links) {
+			l.spoil()
+		}
+		f.cutAll("answers no test and takes no connection")
+	})
+}
+
+func (l *link) test() {
+	c := l.to.core
+	c.line(l.id, func(b []byte) []byte { return jsonl.AppendTest(b, c.rng.Uint64()) })
+}
+
 // redial makes another connection after a pause.
 func (f *far) redial() {
 	f.pause = min(max(2*f.pause, linkPause), linkPauseMax)
@@ -239,10 +288,11 @@
 }
 
 // cutAll ends the calls that stood at a process that is dead or gone.
-func (f *far) cutAll() {
+func (f *far) cutAll(why string) {
 	if f.standing == 0 {
 		return
 	}
+	f.core.note(fmt.Sprintf("switch at %v %s: %d calls are over", f.addr, why, f.standing))
 	for _, k := range f.core.standingAt(f) {
 		f.core.released(k, jsonl.Temporary, decide.NoReport)
 	}
@@ -274,7 +324,7 @@
 	}
 	slices.SortFunc(outs, func(a, b *attempt) int { return cmp.Compare(a.call.id, b.call.id) })
 	if len(f.links) == 0 && (f.phase == decide.Gone || f.replaced) {
-		f.cutAll()
+		f.cutAll("is gone and has closed its connections")
 	}
 	for _, a := range outs {
 		f.core.endedAs(a, decide.Cut)
@@ -326,10 +376,9 @@
 	}
 	now := f.core.now
 	switch quiet := now - f.heard; {
-	case quiet > vanishedFor && f.down:
-		f.core.note("switch at " + f.addr.String() + " has vanished: its calls are over")
-		f.cutAll()
-	case quiet > quietFor && len(f.links) == 1 || quiet > silentFor && now-f.probed > silentFor:
+	case quiet > vanishedFor && f.mute:
+		f.cutAll("has vanished")
+	case quiet > quietFor && len(f.links) == 1, quiet > silentFor && now-f.probed > silentFor:
 		f.probed = now
 		if len(f.links) >= maxLinks {
 			f.pick().leave()
@@ -477,7 +526,7 @@
 		f.endWaiting(decide.NotSent) // told while they waited for a connection: they do not leave
 	}
 	if len(f.links) == 0 && (f.phase == decide.Gone || f.replaced || f.restarted) {
-		f.cutAll() // what stood before its end or its start is over
+		f.cutAll("is told to be gone or new") // what stood before its end or its start is over
 	}
 	f.restarted = false
 	f.keepUp()
@@ -567,7 +616,7 @@
 	if p := c.callers[id]; p != nil {
 		p.lost()
 	} else if l := c.links[id]; l != nil {
-		l.to.broken = true
+		l.to.broken = max(1, c.now)
 		l.lost()
 	} else if id == c.coord.conn {
 		c.coord.lost()
--- a/internal/runtime/platform.go
+++ b/internal/runtime/platform.go
@@ -116,7 +116,9 @@
 	p.core = platform.New(cfg, p.start)
 	var err error
 	// The listener is ours and not the library's, whose loop ends for good when an accept fails.
-	p.client, err = gnet.NewClient(p, gnet.WithNumEventLoop(1), gnet.WithReadBufferCap(readAtOnce), gnet.WithLogger(quiet{log.Sugar()}))
+	// Connections come to it with TCP_NODELAY set; were it to set that again and fail, it would lose a descriptor.
+	p.client, err = gnet.NewClient(p, gnet.WithNumEventLoop(1), gnet.WithReadBufferCap(readAtOnce), gnet.WithTCPNoDelay(gnet.TCPDelay),
+		gnet.WithLogger(quiet{log.Sugar()}))
 	if err == nil {
 		err = p.client.Start()
 	}
