--- a/cmd/pipitring/platform_test.go
+++ b/cmd/pipitring/platform_test.go
@@ -19,10 +19,18 @@
 	"pipitring/internal/standin"
 )
 
-const asProgram = "PIPITRING_TEST_AS_PROGRAM" // the test's own binary plays the program
+// The test's own binary plays the program where the environment says so, within so many descriptors.
+const (
+	asProgram   = "PIPITRING_TEST_AS_PROGRAM"
+	descriptors = 128
+)
 
 func TestMain(m *testing.M) {
 	if os.Getenv(asProgram) != "" {
+		limit := syscall.Rlimit{Cur: descriptors, Max: descriptors}
+		if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+			panic(err)
+		}
 		main()
 	}
 	os.Exit(m.Run())
@@ -120,7 +128,7 @@
 
 func (p *process) configure(c *standin.PlatformCoordinator) {
 	p.t.Helper()
-	if err := os.WriteFile(p.file, standin.PlatformConfig(p.at, c.Addr(), 256, p.sw.Addr()), 0o600); err != nil {
+	if err := os.WriteFile(p.file, standin.PlatformConfig(p.at, c.Addr(), descriptors, p.sw.Addr()), 0o600); err != nil {
 		p.t.Fatal(err)
 	}
 }
@@ -230,6 +238,37 @@
 	}
 }
 
+// TestIdleCallersFillTheDescriptors: several times as many as there are descriptors come at once and say nothing, while
+// discovery is down. Real callers get through, a connection to the switch is made anew, and the coordinator is found at
+// its new address.
+func TestIdleCallersFillTheDescriptors(t *testing.T) {
+	p := startProcess(t)
+	p.coord.Stop()
+	for range 4 * descriptors {
+		idle, err := net.Dial("tcp4", p.at.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer idle.Close()
+	}
+	caller := p.dial()
+	for n := 1; n <= 2; n++ {
+		ref := fmt.Sprintf("%016x", n)
+		p.ask(caller, ref)
+		p.answer(ref)
+		p.expectUp(caller, ref)
+		p.sw.Reset()
+	}
+	next, err := standin.StartPlatformCoordinator()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer next.Stop()
+	p.configure(next)
+	p.signal(syscall.SIGHUP)
+	p.await("the coordinator is asked", func() bool { return len(next.Asked()) > 0 })
+}
+
 // TestAStartThatCannotBe: the key is named, with what it has, and the exit status is that of wrong settings.
 func TestAStartThatCannotBe(t *testing.T) {
 	file := filepath.Join(t.TempDir(), "config.json")
--- a/internal/runtime/platform_order_test.go
+++ b/internal/runtime/platform_order_test.go
@@ -14,6 +14,7 @@
 	"pipitring/internal/coordinator"
 	"pipitring/internal/jsonl"
 	"pipitring/internal/platform"
+	"pipitring/internal/standin"
 )
 
 // hold stops the proxy's loop, as a process that gets no processor stands still, until the returned function is called.
@@ -175,6 +176,36 @@
 	s.proxy.Tell(func(*platform.Core, time.Duration) { t.Error("something is done after the end") })
 }
 
+// TestAConnectionResetAsItIsHandedOver: the far end resets a new connection while the loop, held, has not taken it yet.
+// Another is made, and set-ups that waited for the first go out on it or are told as not sent.
+func TestAConnectionResetAsItIsHandedOver(t *testing.T) {
+	s := newScene(t, 256)
+	resets := 0
+	greet := func(p *standin.JSONPeer) {
+		if resets++; resets <= 3 {
+			release := s.hold()
+			_ = p.Reset() // if it cannot, the close is an ordinary one
+			release()
+		}
+	}
+	s.sw.Greet.Store(&greet)
+	s.sw.Reset()
+	p := s.dial()
+	n := 100
+	await(t, "calls are answered again", func() bool {
+		n++
+		if err := p.Send(offerLine(n)); err != nil {
+			t.Fatal(err)
+		}
+		m, err := p.Receive()
+		if err != nil || m.Ref != callRef(n) {
+			t.Fatalf("got %+v, %v for call %d", m, err, n)
+		}
+		return m.Type == jsonl.Up
+	})
+	s.settled()
+}
+
 // TestStartPlatformSaysWhatIsInTheWay: the address is taken.
 func TestStartPlatformSaysWhatIsInTheWay(t *testing.T) {
 	s := newScene(t, 256)
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 
 	"pipitring/internal/coordinator"
 	"pipitring/internal/jsonl"
@@ -64,6 +65,8 @@
 type PlatformSwitch struct {
 	// On is called for every message, one connection at a time.
 	On func(p *JSONPeer, m jsonl.Message)
+	// Greet, if set, is called for each connection before anything is sent on it.
+	Greet atomic.Pointer[func(p *JSONPeer)]
 
 	lis   net.Listener
 	mu    sync.Mutex
@@ -103,6 +106,9 @@
 		s.mu.Unlock()
 		conn.Close()
 	}()
+	if f := s.Greet.Load(); f != nil {
+		(*f)(p)
+	}
 	if p.Send(`{"t":"gauge","f":{"load":"x0:100;x1:100"}}`+"\n") != nil {
 		return
 	}
