A close and the end wait for what is written and not taken yet

Read for races: what if a signal or a close comes with answers half written? At the end after SIGTERM, and at a gentle close with bytes still in the loop's buffer (platform.close went over to the hard one just then), the library writes what the socket takes at once and drops the rest: answers of calls that had been taken. Now both wait up to 2 s for a reader that takes them; a close looks first whether the loop still has the connection, as its descriptor may be another's by then.

--- a/internal/runtime/platform.go
+++ b/internal/runtime/platform.go
@@ -10,6 +10,7 @@
 	goruntime "runtime"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -28,6 +29,8 @@
 	unread       = 256 << 10              // bytes that wait for an end that does not read, then it is cut
 	readAtOnce   = 16 << 10               // bytes of one read: no message is longer
 	callerAtOnce = 128 << 10              // bytes of one caller in one round of the loop
+	lastWords    = 2 * time.Second        // at an end, for what is written and not taken yet,
+	lookAgain    = 20 * time.Millisecond  // looked at so often
 	acceptPause  = 5 * time.Millisecond   // after an accept that failed, doubling
 	acceptPauses = 6                      // this often
 )
@@ -54,6 +57,7 @@
 	ctx    context.Context
 	trace  Trace
 
+	leaving atomic.Bool  // the core has nothing left to do
 	mu      sync.RWMutex // held while something is handed to the loop
 	stopped bool         // it takes no more
 
@@ -81,6 +85,7 @@
 	caller bool // it was accepted
 	known  bool // the loop has it
 	over   bool // the core has closed it
+	closed bool // and the loop
 	gone   bool // a caller's end was seen, behind what it still brought
 	gently bool
 	read   int    // bytes since
@@ -259,6 +264,7 @@
 // OnClose takes in that a connection is gone.
 func (p *Platform) OnClose(c gnet.Conn, _ error) gnet.Action {
 	e := c.Context().(*end)
+	e.closed = true
 	if e.gently {
 		p.gentle--
 	}
@@ -344,10 +350,24 @@
 		p.log.Info(o.Text)
 	case platform.Exit:
 		p.log.Info("nothing left to do")
-		go func() { _ = p.Stop() }()
+		p.leaving.Store(true)
+		p.leave(p.now() + lastWords)
 	}
 }
 
+// leave ends the proxy once what it wrote is on its way, or at a time at the latest: who reads slowly has not got it yet.
+func (p *Platform) leave(latest time.Duration) {
+	pending := false
+	for _, c := range p.conns {
+		pending = pending || c.OutboundBuffered() > 0
+	}
+	if pending && p.now() < latest {
+		time.AfterFunc(lookAgain, func() { p.do(func() { p.leave(latest) }) })
+		return
+	}
+	go func() { _ = p.Stop() }()
+}
+
 func (p *Platform) close(o platform.Close) {
 	c := p.conns[o.Conn]
 	if c == nil {
@@ -357,14 +377,27 @@
 	delete(p.conns, o.Conn)
 	e := c.Context().(*end)
 	e.over = true
-	if !o.Gently || p.gentle >= gentleAtOnce || c.OutboundBuffered() > 0 || unix.Shutdown(c.Fd(), unix.SHUT_WR) != nil {
+	if !o.Gently || p.gentle >= gentleAtOnce {
 		_ = c.Close()
 		return
 	}
-	// To close with bytes unread would reset the connection, and destroy what was just written.
 	e.gently = true
 	p.gentle++
-	time.AfterFunc(gentleFor, func() { p.do(func() { _ = c.Close() }) })
+	p.endGently(c, e, p.now()+lastWords)
+}
+
+// endGently ends a connection from this side once what was written is on its way, and reads on for a while: to close with
+// bytes unread would reset the connection, and destroy what was just written.
+func (p *Platform) endGently(c gnet.Conn, e *end, latest time.Duration) {
+	switch {
+	case e.closed: // and its descriptor may be another's by now
+	case c.OutboundBuffered() > 0 && p.now() < latest:
+		time.AfterFunc(lookAgain, func() { p.do(func() { p.endGently(c, e, latest) }) })
+	case c.OutboundBuffered() > 0 || unix.Shutdown(c.Fd(), unix.SHUT_WR) != nil:
+		_ = c.Close()
+	default:
+		time.AfterFunc(gentleFor, func() { p.do(func() { _ = c.Close() }) })
+	}
 }
 
 // connect makes a connection beside the loop and hands it over.
--- a/internal/runtime/platform_order_test.go
+++ b/internal/runtime/platform_order_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
 
 	"pipitring/decide"
 	"pipitring/internal/coordinator"
@@ -206,6 +207,81 @@
 	s.settled()
 }
 
+// narrow is a listener whose connections hold little that is written and not taken yet.
+type narrow struct{ net.Listener }
+
+func (n narrow) Accept() (net.Conn, error) {
+	conn, err := n.Listener.Accept()
+	if err == nil {
+		err = conn.(*net.TCPConn).SetWriteBuffer(4096)
+	}
+	return conn, err
+}
+
+// behindASlowReader has a caller that does not read ask until answers wait behind what the sockets' buffers hold. Each is
+// answered at once, with a failure for its class.
+func behindASlowReader(t *testing.T) (s *scene, p *standin.JSONPeer, asked int) {
+	s = sceneOn(t, 256, func(lis net.Listener) net.Listener { return narrow{lis} })
+	small := net.Dialer{Control: func(_, _ string, c syscall.RawConn) (err error) {
+		_ = c.Control(func(fd uintptr) { err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, 4096) }) // err tells
+		return err
+	}}
+	conn, err := small.Dial("tcp4", s.at.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	_ = conn.SetDeadline(time.Now().Add(patience)) // without it a failure hangs
+	p = standin.NewJSONPeer(conn)
+	buffered := func() (n int) {
+		found := make(chan int)
+		s.proxy.Tell(func(*platform.Core, time.Duration) {
+			for _, c := range s.proxy.conns {
+				n += c.OutboundBuffered()
+			}
+			found <- n
+		})
+		return <-found
+	}
+	for buffered() == 0 {
+		asked++
+		if err := p.Send(strings.Replace(offerLine(asked), "voice", "fax", 1)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return s, p, asked
+}
+
+// TestTheEndWaitsForASlowReader: a caller that reads late has more answers to come than the sockets' buffers hold when the
+// proxy, told to stop, has nothing left to do.
+func TestTheEndWaitsForASlowReader(t *testing.T) {
+	s, p, asked := behindASlowReader(t)
+	s.proxy.Tell(func(core *platform.Core, now time.Duration) { core.Stop(now) })
+	await(t, "it is about to end", func() bool { return s.proxy.leaving.Load() })
+	for n := 1; n <= asked; n++ {
+		s.expect(p, jsonl.Down, n)
+	}
+	if err := s.proxy.Wait(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestACloseWaitsForASlowReader: so does the end of a connection that brought what cannot be read.
+func TestACloseWaitsForASlowReader(t *testing.T) {
+	s, p, asked := behindASlowReader(t)
+	before := s.callers()
+	if err := p.Send("{\n"); err != nil {
+		t.Fatal(err)
+	}
+	await(t, "the connection is given up", func() bool { return s.callers() < before })
+	for n := 1; n <= asked; n++ {
+		s.expect(p, jsonl.Down, n)
+	}
+	if m, err := p.Receive(); err == nil {
+		t.Fatalf("more: %+v", m)
+	}
+}
+
 // TestStartPlatformSaysWhatIsInTheWay: the address is taken.
 func TestStartPlatformSaysWhatIsInTheWay(t *testing.T) {
 	s := newScene(t, 256)
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -25,10 +25,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return newJSONPeer(conn), nil
+	return NewJSONPeer(conn), nil
 }
 
-func newJSONPeer(conn net.Conn) *JSONPeer {
+// NewJSONPeer speaks the protocol on a connection.
+func NewJSONPeer(conn net.Conn) *JSONPeer {
 	return &JSONPeer{conn, bufio.NewReaderSize(conn, jsonl.MaxLine+1)}
 }
 
@@ -96,7 +97,7 @@
 }
 
 func (s *PlatformSwitch) serve(conn net.Conn) {
-	p := newJSONPeer(conn)
+	p := NewJSONPeer(conn)
 	s.mu.Lock()
 	s.peers[p] = true
 	s.mu.Unlock()
