--- a/internal/runtime/platform.go
+++ b/internal/runtime/platform.go
@@ -28,7 +28,7 @@
 	gentleAtOnce = 32                     // and so many of them at once
 	unread       = 256 << 10              // bytes that wait for an end that does not read, then it is cut
 	readAtOnce   = 16 << 10               // bytes of one read: no message is longer
-	callerAtOnce = 128 << 10              // bytes of one caller in one round of the loop
+	callerAtOnce = 64 << 10               // bytes of one caller in one round of the loop
 	lastWords    = 2 * time.Second        // at an end, for what is written and not taken yet,
 	lookAgain    = 20 * time.Millisecond  // looked at so often
 	acceptPause  = 5 * time.Millisecond   // after an accept that failed, doubling
