After SIGTERM every call has its answer before the process may be killed

At fault: Core.Stop, which only failed tests, and the patience of calls that come later (calls.go, offer). Ruled out: ending sooner, as what is unread at an end is lost as well.

--- a/internal/platform/bed_test.go
+++ b/internal/platform/bed_test.go
@@ -55,7 +55,14 @@
 	Helper()
 	Fatalf(string, ...any)
 }) *bed {
-	cfg, err := ParseConfig([]byte(config))
+	return bedOf(t, config)
+}
+
+func bedOf(t interface {
+	Helper()
+	Fatalf(string, ...any)
+}, text string) *bed {
+	cfg, err := ParseConfig([]byte(text))
 	if err != nil {
 		t.Fatalf("%v", err)
 	}
--- a/internal/platform/callers.go
+++ b/internal/platform/callers.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -113,25 +114,44 @@
 			gone = append(gone, p)
 		}
 	}
-	slices.SortFunc(gone, func(a, b *caller) int { return cmp.Compare(a.id, b.id) })
-	for _, p := range gone {
+	for _, p := range inOrder(gone) {
 		p.end(true)
 	}
 }
 
+// inOrder sorts connections by age, so that two runs agree.
+func inOrder(list []*caller) []*caller {
+	slices.SortFunc(list, func(a, b *caller) int { return cmp.Compare(a.id, b.id) })
+	return list
+}
+
+func (c *Core) callersInOrder() []*caller { return inOrder(slices.Collect(maps.Values(c.callers))) }
+
 // end closes a caller's connection; set-ups that are open on it get their final answer before.
 func (p *caller) end(gently bool) {
 	if p.ended {
 		return
 	}
 	p.ended = true
+	p.answerAll()
+	delete(p.core.callers, p.id)
+	p.core.close(p.id, gently)
+}
+
+// answerAll gives up the set-ups that are open on a connection and answers them: what never left is refused, the rest has
+// failed.
+func (p *caller) answerAll() {
 	open := p.core.openOn(p)
 	p.core.giveUp(open)
 	for _, k := range open {
-		p.down(k.ref, jsonl.Temporary, 0)
+		if k.attempts == 0 {
+			p.core.Stats.Refused++
+			p.down(k.ref, jsonl.Congestion, p.core.stayAway())
+		} else {
+			p.core.Stats.Failed++
+			p.down(k.ref, jsonl.Temporary, 0)
+		}
 	}
-	delete(p.core.callers, p.id)
-	p.core.close(p.id, gently)
 }
 
 func (p *caller) down(ref string, cause int, wait time.Duration) {
@@ -331,7 +351,7 @@
 		return
 	}
 	c.sendHomeless(p)
-	if most := c.cfg.Setup.MaxOpen; most > 0 && c.open >= most {
+	if most := c.cfg.Setup.MaxOpen; most > 0 && c.open >= most || c.isClosing() {
 		c.Stats.Refused++
 		p.down(m.Ref, jsonl.Congestion, c.stayAway())
 		return
--- a/internal/platform/calls.go
+++ b/internal/platform/calls.go
@@ -44,6 +44,9 @@
 	c.Stats.Calls++
 	c.lastCall++
 	k := &call{ref: m.Ref, id: c.lastCall, from: p, class: o.Class, key: o.key, desc: m.Desc}
+	if c.stopping != 0 {
+		o.Patience = min(o.Patience, c.lastAnswers-c.now)
+	}
 	o.Call, o.Patience = k.id, max(0, o.Patience-overlap)
 	k.end = c.now + o.Patience
 	c.calls[k.ref], c.byID[k.id] = k, k
--- a/internal/platform/core.go
+++ b/internal/platform/core.go
@@ -60,13 +60,18 @@
 
 // Limits that no setting names.
 const (
-	readyWithin  = 1500 * time.Millisecond // a switch that says nothing does not hold up readiness longer
-	overlap      = 5 * time.Millisecond    // the proxy's answer is on its way this long before the caller gives up
-	clockSlack   = 20 * time.Millisecond   // a caller that leaves so near its end waited its time: clocks and ways differ
-	moreComing   = 800 * time.Millisecond  // set-ups still come after SIGTERM
-	releaseFor   = 8 * time.Second         // a release that could not be sent is of no use after this
-	adoptedFor   = 10 * time.Minute        // a call named by 'at' that nobody ever ends is forgotten
-	earlyKept    = 1024                    // releases that came before their call was named by 'at'
+	readyWithin = 1500 * time.Millisecond // a switch that says nothing does not hold up readiness longer
+	overlap     = 5 * time.Millisecond    // the proxy's answer is on its way this long before the caller gives up
+	clockSlack  = 20 * time.Millisecond   // a caller that leaves so near its end waited its time: clocks and ways differ
+	moreComing  = 800 * time.Millisecond  // set-ups still come after SIGTERM
+	// A process that is told to end is killed no sooner than the longest deadline, counted as killDeadline where it is longer,
+	// and killGrace later. Calls in transit go on coming until then; every one has its answer lastLook before.
+	killDeadline = 3 * time.Second
+	killGrace    = 700 * time.Millisecond
+	lastLook     = 100 * time.Millisecond
+	releaseFor   = 8 * time.Second  // a release that could not be sent is of no use after this
+	adoptedFor   = 10 * time.Minute // a call named by 'at' that nobody ever ends is forgotten
+	earlyKept    = 1024             // releases that came before their call was named by 'at'
 	houseKeeping = 250 * time.Millisecond
 )
 
@@ -141,8 +146,10 @@
 
 	coord    listFeed
 	stopping time.Duration // when SIGTERM came; 0 is not
-	keeper   timers.Entry[func()]
-	exited   bool
+	// Once it has come: what is open by then is answered, and what comes later is refused at once.
+	lastAnswers time.Duration
+	keeper      timers.Entry[func()]
+	exited      bool
 }
 
 // early is a release of a call that is not known here, kept for when 'at' names the call.
@@ -291,14 +298,32 @@
 	return max(1, min(c.moduleTime(), time.UnixMilli(unixMs).Sub(c.wall)+clockAhead))
 }
 
-// Stop tells that the process is to end: tests fail from now, all that comes is still served.
+// Stop tells that the process is to end: tests fail from now, and what comes is still served, as far as there is time
+// before the process may be killed.
 func (c *Core) Stop(now time.Duration) {
 	c.tell(now)
-	if c.stopping == 0 {
-		c.stopping = max(1, c.now)
+	if c.stopping != 0 {
+		return
 	}
+	c.stopping = max(1, c.now)
+	var longest time.Duration
+	for _, class := range c.cfg.Setup.Settings.Classes {
+		longest = max(longest, class.Deadline)
+	}
+	c.lastAnswers = c.stopping + min(longest, killDeadline) + killGrace - lastLook
+	c.after(c.lastAnswers-c.now, c.answerAll)
 }
 
+// answerAll ends what is open when the process may soon be killed: what never left is refused, the rest has failed.
+func (c *Core) answerAll() {
+	for _, p := range c.callersInOrder() {
+		p.answerAll()
+	}
+}
+
+// isClosing tells whether no further call can be given its answer for sure.
+func (c *Core) isClosing() bool { return c.stopping != 0 && c.now >= c.lastAnswers }
+
 // Ready tells whether the proxy passes tests: the list is known, and what each switch's group has.
 func (c *Core) Ready() bool {
 	if c.stopping != 0 {
