--- a/internal/platform/calls.go
+++ b/internal/platform/calls.go
@@ -101,15 +101,25 @@
 	c.giveUp(list)
 }
 
-// giveUp ends calls whose callers wait no longer. The attempts that are out are called off once the module knows of all
-// of them, or what one frees would be used for the next; one that was waited for to the caller's end has timed out, which
-// tells more of the switch.
+// giveUp ends calls whose callers wait no longer. The module knows of all of them before any attempt is called off, or what
+// one frees would be used for the next.
 func (c *Core) giveUp(list []*call) {
+	c.dismiss(list)
+	c.callOff(list)
+}
+
+// dismiss drops calls that are owed no answer any more; attempts may be out still.
+func (c *Core) dismiss(list []*call) {
 	for _, k := range list {
 		c.unowe(k)
 		c.forget(k)
 		c.feed(decide.CallerLeft{Call: k.id})
 	}
+}
+
+// callOff takes back what is out of calls that were dismissed. An attempt that was waited for to the caller's end has
+// timed out, which tells more of the switch.
+func (c *Core) callOff(list []*call) {
 	for _, k := range list {
 		switch {
 		case k.out == nil:
--- a/internal/platform/departed_test.go
+++ b/internal/platform/departed_test.go
@@ -135,6 +135,32 @@
 	b.quiet()
 }
 
+// TestWhatADepartureFreesIsNotSentToADrainingSwitch: another caller's call waits for its turn at the same cold switch; the
+// drain is told in the same round.
+func TestWhatADepartureFreesIsNotSentToADrainingSwitch(t *testing.T) {
+	b := upBed(t)
+	p, q, sw := b.accept(), b.accept(), b.switches[1]
+	fresh := entry(1, 1, 2, decide.Ready)
+	fresh.Started = b.wall.UnixMilli()
+	b.list(2, fresh)
+	for n := 1; len(b.lines[sw]) == 0; n++ {
+		b.send(p, setUp(n, 1, ""))
+		b.pass(100 * ms)
+	}
+	for n, held := 100, b.Held(); b.Held() == held; n++ {
+		b.send(q, setUp(n, 1, ""))
+	}
+	b.got(sw)
+	b.at += 900 * ms
+	b.round(Input{Conn: p, What: Ended},
+		Input{Conn: b.coord, What: Brought, Bytes: coordinator.AppendFrame(nil, coordinator.Event{Number: 3, Entries: []coordinator.Entry{entry(1, 1, 2, decide.Draining)}})})
+	for _, m := range b.got(sw) {
+		if m.Type == jsonl.New {
+			t.Fatalf("%s left for a switch told to drain", m.Ref)
+		}
+	}
+}
+
 // TestWantOfDescriptorsSaysNothingOfASwitch: a connection that could not be made for want of descriptors ends no call and
 // leaves the attempt that waits for it, has a silent caller's connection ended, and is tried again.
 func TestWantOfDescriptorsSaysNothingOfASwitch(t *testing.T) {
--- a/internal/platform/round.go
+++ b/internal/platform/round.go
@@ -31,37 +31,46 @@
 // to drain or on a connection known to be lost, because of the order in which sockets happen to be read.
 func (c *Core) Round(now time.Duration, in []Input) {
 	c.tell(now)
-	c.departures(in)
-	rank := func(i Input) int {
+	gone := c.departures(in)
+	c.Stats.Left += uint64(len(gone))
+	c.dismiss(gone)
+	var list, switches, callers []Input
+	for _, i := range in {
 		switch {
 		case i.Conn == c.coord.conn:
-			return 0
+			list = append(list, i)
 		case c.callers[i.Conn] == nil:
-			return 1
+			switches = append(switches, i)
+		default:
+			callers = append(callers, i)
 		}
-		return 2
 	}
-	slices.SortStableFunc(in, func(a, b Input) int { return rank(a) - rank(b) })
+	c.take(list)
+	c.callOff(gone) // what this frees may be used at once, so not before the list is known
+	c.take(switches)
+	c.take(callers)
+	c.Advance(now)
+}
+
+func (c *Core) take(in []Input) {
 	for _, i := range in {
 		switch i.What {
 		case Opened:
-			c.Connected(now, i.Conn)
+			c.Connected(c.now, i.Conn)
 		case Brought:
 			if p := c.callers[i.Conn]; p != nil {
 				p.act()
 			} else {
-				c.Receive(now, i.Conn, i.Bytes)
+				c.Receive(c.now, i.Conn, i.Bytes)
 			}
 		case Ended:
-			c.Closed(now, i.Conn)
+			c.Closed(c.now, i.Conn)
 		}
 	}
-	c.Advance(now)
 }
 
-// departures reads what callers brought, and gives up the calls that they have no more use for. Nothing is begun yet.
-func (c *Core) departures(in []Input) {
-	var gone []*call
+// departures reads what callers brought, and lists the calls that they have no more use for. Nothing is begun yet.
+func (c *Core) departures(in []Input) (gone []*call) {
 	for _, i := range in {
 		p := c.callers[i.Conn]
 		if p == nil {
@@ -84,5 +93,5 @@
 			}
 		}
 	}
-	c.left(gone)
+	return gone
 }
