--- a/internal/platform/core.go
+++ b/internal/platform/core.go
@@ -93,7 +93,7 @@
 	s := &c.Stats
 	c.note(fmt.Sprintf("calls %d: answered %d, refused %d, failed %d, left %d; open %d, held %d, known %d, adopted %d; attempts %d, ended %v; "+
 		"callers' connections %d, bad %d, turned away %d; switches' connections %d, bad %d", s.Calls, s.Answered, s.Refused, s.Failed,
-		s.Left, c.open, c.ctl.Held(), len(c.calls), s.Adopted, s.Attempts, s.Ends, len(c.callers), s.BadCallers, s.TurnedAway, len(c.links), s.BadSwitches))
+		s.Left, c.open, c.Held(), len(c.calls), s.Adopted, s.Attempts, s.Ends, len(c.callers), s.BadCallers, s.TurnedAway, len(c.links), s.BadSwitches))
 	text := "believed:"
 	for _, b := range c.Beliefs(c.now) {
 		text += " [" + b.String() + "]"
