Reread: a cold fleet is played once for all windows; tests ask the core in one way

Need: the cold budget's test played each fleet again for every window that it is judged by, and kept an attempt's number that nothing read; four tests asked the core by the same lines, three gave the same verdict, four started a coordinator alike. Change: play and judgement are apart, askCore, nothingLeft and startCoordinator serve them all. Tests only; every assertion and bound is as before.

--- a/cmd/pipitring/platform_test.go
+++ b/cmd/pipitring/platform_test.go
@@ -75,13 +75,20 @@
 	}
 }
 
+func startCoordinator(t *testing.T) *standin.PlatformCoordinator {
+	t.Helper()
+	c, err := standin.StartPlatformCoordinator()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Stop)
+	return c
+}
+
 func startProcess(t *testing.T) *process {
 	p := &process{t: t, file: filepath.Join(t.TempDir(), "config.json"), hold: map[string]func(){}, gone: make(chan error, 1)}
+	p.coord = startCoordinator(t)
 	var err error
-	if p.coord, err = standin.StartPlatformCoordinator(); err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(p.coord.Stop)
 	if p.sw, err = standin.StartPlatformSwitch("127.0.0.1:0", p.setUp); err != nil {
 		t.Fatal(err)
 	}
@@ -198,20 +205,12 @@
 			return strings.Count(p.log.String(), "configuration not reread") > i
 		})
 	}
-	second, err := standin.StartPlatformCoordinator()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer second.Stop()
+	second := startCoordinator(t)
 	p.configure(second)
 	p.signal(syscall.SIGHUP)
 	p.signal(syscall.SIGHUP)
 	p.await("the second coordinator is asked", func() bool { return len(second.Asked()) > 0 })
-	third, err := standin.StartPlatformCoordinator()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer third.Stop()
+	third := startCoordinator(t)
 	third.Tell(coordinator.Event{Number: 2})
 	p.signal(syscall.SIGTERM)
 	p.configure(third)
@@ -259,11 +258,7 @@
 		p.expectUp(caller, ref)
 		p.sw.Reset()
 	}
-	next, err := standin.StartPlatformCoordinator()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer next.Stop()
+	next := startCoordinator(t)
 	p.configure(next)
 	p.signal(syscall.SIGHUP)
 	p.await("the coordinator is asked", func() bool { return len(next.Asked()) > 0 })
--- a/decide/cold_fleet_test.go
+++ b/decide/cold_fleet_test.go
@@ -17,9 +17,8 @@
 	uncalled bool    // nobody calls until three seconds after the start: every budget has filled
 }
 
-// play returns the most set-ups that reached the starting processor within the rule's window, beside what it was allowed.
-func (f coldFleet) play(t *testing.T, s Settings, usual, busy float64, window time.Duration) (worst float64, text string) {
-	t.Helper()
+// play returns when set-ups reached the starting processor, counted from its start; usual is the far end's rate before.
+func (f coldFleet) play(s Settings, usual float64) (sentAt []time.Duration) {
 	rng := uint64(f.proxies)*7919 + uint64(f.demand*13) + uint64(f.uneven)
 	draw := func() float64 { rng += 0x9e3779b97f4a7c15; return float64(mix(rng)>>11) / (1 << 53) }
 	shares, sum := make([]float64, f.proxies), 0.0
@@ -45,12 +44,10 @@
 		p.c = New(s, uint64(i)*31+rng)
 		fleet[i] = p
 	}
-	var sentAt []time.Duration
 	type stand struct {
 		p    *proxy
 		call CallID
 		ex   ExchangeID
-		no   int
 	}
 	ends := map[time.Duration][]stand{}
 	const step = 10 * time.Millisecond
@@ -64,11 +61,11 @@
 		for _, a := range acts {
 			if a, ok := a.(SetUp); ok {
 				if now >= start {
-					sentAt = append(sentAt, now)
+					sentAt = append(sentAt, now-start)
 				}
-				p.c.Feed(epoch+now, Standing{Call: a.Call, Attempt: 0, Exchange: a.Exchange, Took: 50 * ms})
+				p.c.Feed(epoch+now, Standing{Call: a.Call, Exchange: a.Exchange, Took: 50 * ms})
 				end := now + time.Duration(-hold*math.Log(1-draw())*float64(time.Second))/step*step + step
-				ends[end] = append(ends[end], stand{p, a.Call, a.Exchange, 0})
+				ends[end] = append(ends[end], stand{p, a.Call, a.Exchange})
 			}
 		}
 	}
@@ -90,7 +87,7 @@
 			clear(ends) // what stood was cut
 		}
 		for _, e := range ends[now] {
-			e.p.c.Feed(epoch+now, Ended{Call: e.call, Attempt: e.no, Exchange: e.ex, Outcome: Completed, Concluded: true,
+			e.p.c.Feed(epoch+now, Ended{Call: e.call, Exchange: e.ex, Outcome: Completed, Concluded: true,
 				Report: Report{Free: math.Min(e.p.size, 1), Size: e.p.size}})
 		}
 		for _, p := range fleet {
@@ -115,6 +112,11 @@
 			}
 		}
 	}
+	return sentAt
+}
+
+// fullest is the window that comes nearest to what the rule allows, or passes it; capacity is that of the warm processor.
+func fullest(sentAt []time.Duration, s Settings, capacity float64, window time.Duration) (worst float64, text string) {
 	for i, from := range sentAt {
 		n := 0
 		for _, at := range sentAt[i:] {
@@ -123,11 +125,11 @@
 			}
 		}
 		// How it grows is not told; evenly, as the module takes it, and judged by the window's beginning.
-		g := s.ColdFrom + (1-s.ColdFrom)*(from-start).Seconds()/s.ColdFor.Seconds()
-		allowed := s.FallMultiple * usual / busy * g * window.Seconds()
+		g := s.ColdFrom + (1-s.ColdFrom)*from.Seconds()/s.ColdFor.Seconds()
+		allowed := s.FallMultiple * capacity * g * window.Seconds()
 		most := allowed + 2*math.Sqrt(allowed) + 2
 		if r := float64(n) / most; r > worst {
-			worst, text = r, fmt.Sprintf("%d within %v from %v after the start, allowed %.1f, with chance %.1f", n, window, from-start, allowed, most)
+			worst, text = r, fmt.Sprintf("%d within %v from %v after the start, allowed %.1f, with chance %.1f", n, window, from, allowed, most)
 		}
 	}
 	return worst, text
@@ -143,8 +145,10 @@
 			{demand: 10, fresh: true, uneven: 30}, {demand: 10, uncalled: true}, {demand: 10, uncalled: true, fresh: true}} {
 			f.proxies = n
 			for i, s := range []Settings{settings(), unlike} {
+				const usual, busy = 13, 0.8
+				sentAt := f.play(s, usual)
 				for _, window := range []time.Duration{1500 * ms, 3 * time.Second} {
-					if worst, text := f.play(t, s, 13, 0.8, window); worst == 0 || worst > 1 {
+					if worst, text := fullest(sentAt, s, usual/busy, window); worst == 0 || worst > 1 {
 						t.Errorf("settings %d, %+v: %s", i, f, text)
 					}
 				}
--- a/internal/runtime/platform_order_test.go
+++ b/internal/runtime/platform_order_test.go
@@ -30,6 +30,15 @@
 // settled has all that was sent before taken in and acted upon: a call made after it is answered.
 func (s *scene) settled() { s.call(s.dial(), 99) }
 
+// nothingLeft checks that no set-up left for call 1, whose caller had gone.
+func (s *scene) nothingLeft() {
+	s.t.Helper()
+	s.settled()
+	if s.saw("new " + callRef(1)) {
+		s.t.Fatal("a set-up left for a caller that had gone")
+	}
+}
+
 // TestNothingLeavesForACallerThatHasGone: while the proxy stands still a caller asks and goes, and a circuit for its
 // call is freed. Whatever the order in which the sockets are read, no set-up may leave for it.
 func TestNothingLeavesForACallerThatHasGone(t *testing.T) {
@@ -55,10 +64,7 @@
 				p.Close()
 			}
 			release()
-			s.settled()
-			if s.saw("new " + callRef(1)) {
-				t.Fatal("a set-up left for a caller that had gone")
-			}
+			s.nothingLeft()
 		})
 	}
 }
@@ -88,10 +94,7 @@
 	p.Close()
 	s.proxy.Tell(func(*platform.Core, time.Duration) {})
 	close(gate)
-	s.settled()
-	if s.saw("new " + callRef(1)) {
-		t.Fatal("a set-up left for a caller that had gone")
-	}
+	s.nothingLeft()
 }
 
 // TestACircuitFreedBehindACallersBack: a held call's caller closes, after a circuit was told free that the proxy, standing
@@ -107,18 +110,13 @@
 		t.Fatal(err)
 	}
 	await(t, "the call is held", func() bool {
-		held := make(chan bool)
-		s.proxy.Tell(func(core *platform.Core, _ time.Duration) { held <- core.Held() == 1 })
-		return <-held
+		return askCore(s, func(core *platform.Core, _ time.Duration) bool { return core.Held() == 1 })
 	})
 	release := s.hold()
 	s.sw.Tell(`{"t":"gauge","f":{"load":"x0:100;x1:100"}}` + "\n")
 	p.Close()
 	release()
-	s.settled()
-	if s.saw("new " + callRef(1)) {
-		t.Fatal("a set-up left for a caller that had gone")
-	}
+	s.nothingLeft()
 }
 
 // TestADrainToldBesideASetUp: both are unread when the proxy comes back, the set-up first. The switch is told to drain.
@@ -233,17 +231,13 @@
 	t.Cleanup(func() { conn.Close() })
 	_ = conn.SetDeadline(time.Now().Add(patience)) // without it a failure hangs
 	p = standin.NewJSONPeer(conn)
-	buffered := func() (n int) {
-		found := make(chan int)
-		s.proxy.Tell(func(*platform.Core, time.Duration) {
-			for _, c := range s.proxy.conns {
-				n += c.OutboundBuffered()
-			}
-			found <- n
-		})
-		return <-found
+	buffered := func(*platform.Core, time.Duration) (n int) {
+		for _, c := range s.proxy.conns {
+			n += c.OutboundBuffered()
+		}
+		return n
 	}
-	for buffered() == 0 {
+	for askCore(s, buffered) == 0 {
 		asked++
 		if err := p.Send(strings.Replace(offerLine(asked), "voice", "fax", 1)); err != nil {
 			t.Fatal(err)
--- a/internal/runtime/platform_test.go
+++ b/internal/runtime/platform_test.go
@@ -53,17 +53,20 @@
 	}
 }
 
+// askCore has the loop look something up.
+func askCore[T any](s *scene, f func(core *platform.Core, now time.Duration) T) T {
+	found := make(chan T)
+	s.proxy.Tell(func(core *platform.Core, now time.Duration) { found <- f(core, now) })
+	return <-found
+}
+
 // believes asks what the module holds true of a far end.
 func (s *scene) believes(f func(decide.Belief) bool) bool {
-	found := make(chan bool)
-	s.proxy.Tell(func(core *platform.Core, now time.Duration) { found <- slices.ContainsFunc(core.Beliefs(now), f) })
-	return <-found
+	return askCore(s, func(core *platform.Core, now time.Duration) bool { return slices.ContainsFunc(core.Beliefs(now), f) })
 }
 
 func (s *scene) callers() int {
-	n := make(chan int)
-	s.proxy.Tell(func(core *platform.Core, _ time.Duration) { n <- core.Callers() })
-	return <-n
+	return askCore(s, func(core *platform.Core, _ time.Duration) int { return core.Callers() })
 }
 
 func (s *scene) saw(what string) bool {
