Review, case 3: with slow discovery a proxy never learns of a drain

A coordinator that takes 2.2 s to its first frame is never waited for: the proxy replaces the connection after 1.8 s, again and again. Added: the case with SIGHUP to such a coordinator and a drain told by it.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec "$(dirname "$0")/../run-case.sh" 3
