Review, case 2: replacements as the site has them, the old switch gone before the new one

The replacements before the kill were shorter than the site's drains, and the list told of both switches at once, so that another fault could have been met. Now they drain for 6.2 s, and the list says that they are gone before the new ones have their addresses.

--- a/review/stand/case2.go
+++ b/review/stand/case2.go
@@ -19,7 +19,7 @@
 	if err != nil {
 		return false, err
 	}
-	co, err := startCoordinator(b.rec, "A", "127.0.2.1", 0)
+	co, err := startCoordinator(b.rec, "127.0.2.1")
 	if err != nil {
 		return false, err
 	}
@@ -42,24 +42,33 @@
 	}
 	for generation := range 2 {
 		time.Sleep(1500 * time.Millisecond)
-		for i, s := range switches[:2] {
+		old := []*switchSim{switches[0], switches[1]}
+		for _, s := range old {
 			s.refuseNew()
-			if err := tell(s.entry(draining)); err != nil {
-				return false, err
-			}
-			time.Sleep(time.Second)
+		}
+		if err := tell(old[0].entry(draining), old[1].entry(draining)); err != nil {
+			return false, err
+		}
+		time.Sleep(6200 * time.Millisecond)
+		for _, s := range old {
 			s.stop()
-			time.Sleep(300 * time.Millisecond)
+		}
+		time.Sleep(200 * time.Millisecond)
+		if err := tell(old[0].entry(gone), old[1].entry(gone)); err != nil {
+			return false, err
+		}
+		time.Sleep(300 * time.Millisecond)
+		for i, s := range old {
 			next, err := startSwitch(b.rec, s.id+uint32(1000*(generation+1)), s.cell, s.addr().String(), hold)
 			if err != nil {
 				return false, err
 			}
 			next.started = time.Now().UnixMilli()
 			switches[i], all = next, append(all, next)
-			time.Sleep(300 * time.Millisecond)
-			if err := tell(s.entry(gone), next.entry(ready)); err != nil {
-				return false, err
-			}
+		}
+		time.Sleep(300 * time.Millisecond)
+		if err := tell(switches[0].entry(ready), switches[1].entry(ready)); err != nil {
+			return false, err
 		}
 	}
 	time.Sleep(13 * time.Second)
