Review, case 3: a stored release is not sent to a caller who hangs up

A release that found no caller's connection is kept for the next set-up only; added is the case of two calls in a quiet hour whose callers close their connection.

--- a/review/stand/callers.go
+++ b/review/stand/callers.go
@@ -22,6 +22,7 @@
 	stood       bool
 	refusedWith int
 	releasedAt  time.Time // first release after the answer
+	hungUp      bool      // the caller ended it
 	named       time.Time // when the caller named it, with "at", to a proxy that had restarted
 	extra       int       // further answers or releases
 }
@@ -115,6 +116,36 @@
 	}
 }
 
+// hangUp releases a call on a connection.
+func (c *callers) hangUp(p *peer, k *callerCall) error {
+	c.mu.Lock()
+	k.hungUp = true
+	c.mu.Unlock()
+	c.rec.log("caller: hangs up %s", k.ref)
+	return p.send(newDown(k.ref, 16))
+}
+
+// test tests the proxy as a front does, on a connection of its own that is closed after the reply.
+func (c *callers) test(name string) error {
+	p, err := c.connect(name)
+	if err != nil {
+		return err
+	}
+	zero := 0
+	if err := p.send(message{Type: "hb", Ref: "00000000000000aa", Cause: &zero}); err != nil {
+		return err
+	}
+	time.Sleep(20 * time.Millisecond)
+	return p.Close()
+}
+
+// get returns a copy of a call.
+func (c *callers) get(k *callerCall) callerCall {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return *k
+}
+
 // snapshot returns copies of the calls.
 func (c *callers) snapshot() (list []callerCall) {
 	c.mu.Lock()
--- a/review/stand/case1.go
+++ b/review/stand/case1.go
@@ -19,7 +19,7 @@
 	if err != nil {
 		return false, err
 	}
-	co, err := startCoordinator(b.rec, "A", "127.0.2.1", 0)
+	co, err := startCoordinator(b.rec, "127.0.2.1")
 	if err != nil {
 		return false, err
 	}
--- a/review/stand/case3.go
+++ b/review/stand/case3.go
@@ -4,84 +4,99 @@
 
 import (
 	"errors"
-	"syscall"
+	"fmt"
 	"time"
 )
 
-func init() { cases["3"] = slowDiscovery }
+func init() { cases["3"] = noConnection }
 
-// slowDiscovery: a new configuration moves discovery to a coordinator that is slow: it writes the first frame 2.2 s
-// after it was asked. A second later a switch drains.
-func slowDiscovery(b *bench) (bool, error) {
+// noConnection: in a quiet hour two calls stand. Their callers close the connection, on which no set-up was open for
+// 4 s. The switch of one call releases it; 0.3 s later the caller of the other call hangs up, on a new connection, which
+// stays open for 4 s. All the time the front tests the proxy once a second.
+func noConnection(b *bench) (bool, error) {
 	switches, err := b.startSwitches(5, func(string) time.Duration { return 10 * time.Second })
 	if err != nil {
 		return false, err
 	}
-	oldOne, err := startCoordinator(b.rec, "A", "127.0.2.1", 0)
+	switches[1].hold = func(string) time.Duration { return 14 * time.Second }
+	co, err := startCoordinator(b.rec, "127.0.2.1")
 	if err != nil {
 		return false, err
 	}
-	var delay time.Duration
-	if b.trouble {
-		delay = 2200 * time.Millisecond
+	p, err := b.startProxy(wa, co.addr(), switches)
+	if err != nil {
+		return false, err
 	}
-	newOne, err := startCoordinator(b.rec, "B", "127.0.2.2", delay)
+	c := newCallers(b.rec, p.listen)
+	c1, err := c.connect("c1")
 	if err != nil {
 		return false, err
 	}
-	p, err := b.startProxy(wa, oldOne.addr(), switches)
+	first, err := c.call(c1, wa.classes[0], 1)
 	if err != nil {
 		return false, err
 	}
-	c := newCallers(b.rec, p.listen)
-	stop := make(chan struct{})
-	if err := c.traffic(wa, []int{1, 2, 3, 4, 5}, 10, stop); err != nil {
+	other, err := c.call(c1, wa.classes[0], 2)
+	if err != nil {
 		return false, err
 	}
-	time.Sleep(4 * time.Second)
-	p.config["coordinator"] = newOne.addr()
-	if err := p.writeConfig(); err != nil {
+	time.Sleep(4200 * time.Millisecond)
+	if !c.get(first).stood || !c.get(other).stood {
+		return false, errors.New("the calls do not stand")
+	}
+	if b.trouble {
+		b.rec.log("caller: closes c1, on which no set-up was open for 4 s")
+		_ = c1.Close()
+	}
+	tests := 0
+	testOnce := func() error { tests++; return c.test(fmt.Sprintf("t%d", tests)) }
+	lastTest := time.Now()
+	var ended switchCall
+	for ended.releaseAt.IsZero() && !ended.bySwitch {
+		if time.Since(first.sentAt) > 20*time.Second {
+			return false, errors.New("the switch did not release its call")
+		}
+		if time.Since(lastTest) > time.Second {
+			lastTest = time.Now()
+			if err := testOnce(); err != nil {
+				return false, err
+			}
+		}
+		time.Sleep(5 * time.Millisecond)
+		ended, _ = findCall(switches, first.ref)
+	}
+	time.Sleep(300 * time.Millisecond)
+	on := c1
+	if b.trouble {
+		if on, err = c.connect("c2"); err != nil {
+			return false, err
+		}
+	}
+	opened := time.Now()
+	if err := c.hangUp(on, other); err != nil {
 		return false, err
 	}
-	oldOne.retire()
-	hup := time.Now()
-	p.signal(syscall.SIGHUP)
-	time.Sleep(time.Second)
-	drained := switches[1]
-	newOne.publish(event{index: 2, entries: []entry{{drained.id, drained.addr(), draining, uint16(drained.cell), 0}}})
-	// At the latest 4 s after SIGHUP this counts as told.
-	told := hup.Add(4 * time.Second)
-	limit := told.Add(time.Duration(wa.drainGrace*float64(time.Second)) + slack)
-	time.Sleep(time.Until(limit) + 10*time.Second)
-	close(stop)
 	time.Sleep(4 * time.Second)
+	_ = on.Close()
+	for time.Since(ended.endedAt) < 9*time.Second {
+		if err := testOnce(); err != nil {
+			return false, err
+		}
+		time.Sleep(time.Second)
+	}
 	if !p.running() {
 		return false, errors.New("the proxy has ended")
 	}
 	b.checkAnswers(c)
-	late, last := 0, time.Time{}
-	drained.mu.Lock()
-	for _, at := range drained.setUps {
-		if at.After(limit) {
-			late++
-			last = at
-		}
-	}
-	drained.mu.Unlock()
-	newOne.mu.Lock()
-	asked, written := newOne.asked, newOne.told
-	newOne.mu.Unlock()
-	if written.IsZero() {
-		b.rec.say("the proxy asked the new coordinator %d times and never waited for its answer", asked)
-	} else {
-		b.rec.say("the proxy asked the new coordinator %d times; the drain was written %.3f s after SIGHUP", asked, written.Sub(hup).Seconds())
-	}
-	if asked == 0 {
-		return false, errors.New("the proxy never asked the new coordinator")
+	if at, _ := findCall(switches, other.ref); !at.byCaller {
+		return false, errors.New("the call that its caller ended was not ended at its switch")
 	}
-	if late > 0 {
-		b.rec.say("set-ups sent to the draining switch more than %.2f s after it counts as told: %d, the last %.3f s after", wa.drainGrace+slack.Seconds(),
-			late, last.Sub(told).Seconds())
+	told := c.get(first).releasedAt
+	if told.IsZero() {
+		b.rec.say("the call that its switch released was never released toward its caller; a caller's connection was open from %.3f s after that for 4 s",
+			opened.Sub(ended.endedAt).Seconds())
+		return false, nil
 	}
-	return late == 0, nil
+	b.rec.say("the call that its switch released was released toward its caller %.3f s after that", told.Sub(ended.endedAt).Seconds())
+	return !told.After(opened.Add(time.Second + slack)), nil
 }
--- a/review/stand/coord.go
+++ b/review/stand/coord.go
@@ -53,25 +53,19 @@
 // coordinator serves the list: the events after the number that a proxy names, then each new one, and an empty frame
 // each second.
 type coordinator struct {
-	name       string
-	rec        *record
-	lis        net.Listener
-	firstDelay time.Duration // it is slow: so long after it was asked comes the first frame on a connection
+	rec *record
+	lis net.Listener
 
-	mu      sync.Mutex
-	events  []event
-	retired bool
-	conns   map[net.Conn]bool
-	asked   int
-	told    time.Time // when the first frame with an event was written
+	mu     sync.Mutex
+	events []event
 }
 
-func startCoordinator(rec *record, name, ip string, firstDelay time.Duration) (*coordinator, error) {
+func startCoordinator(rec *record, ip string) (*coordinator, error) {
 	lis, err := net.Listen("tcp4", ip+":0")
 	if err != nil {
 		return nil, err
 	}
-	c := &coordinator{name: name, rec: rec, lis: lis, firstDelay: firstDelay, conns: map[net.Conn]bool{}}
+	c := &coordinator{rec: rec, lis: lis}
 	go func() {
 		for {
 			conn, err := lis.Accept()
@@ -91,25 +85,10 @@
 	defer c.mu.Unlock()
 	c.events = append(c.events, e)
 	for _, x := range e.entries {
-		c.rec.log("coordinator %s: event %d: switch s-%08x cell %d state %d started %d", c.name, e.index, x.id, x.cell, x.state, x.started)
+		c.rec.log("coordinator: event %d: switch s-%08x cell %d state %d started %d", e.index, x.id, x.cell, x.state, x.started)
 	}
 }
 
-// retire stops the listener and says nothing more; open connections are closed after 1.5 s.
-func (c *coordinator) retire() {
-	c.mu.Lock()
-	c.retired = true
-	c.mu.Unlock()
-	_ = c.lis.Close()
-	time.AfterFunc(1500*time.Millisecond, func() {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		for conn := range c.conns {
-			_ = conn.Close()
-		}
-	})
-}
-
 func (c *coordinator) serve(conn net.Conn) {
 	defer conn.Close()
 	var hello [8]byte
@@ -117,49 +96,30 @@
 		return
 	}
 	from := binary.BigEndian.Uint64(hello[:])
-	c.mu.Lock()
-	c.conns[conn] = true
-	c.asked++
-	c.mu.Unlock()
-	c.rec.log("coordinator %s: asked for the events after %d", c.name, from)
+	c.rec.log("coordinator: asked for the events after %d", from)
 	ended := make(chan struct{})
 	go func() {
 		_, _ = conn.Read(hello[:1])
-		c.rec.log("coordinator %s: connection ended", c.name)
+		c.rec.log("coordinator: connection ended")
 		close(ended)
 	}()
-	defer func() {
-		c.mu.Lock()
-		delete(c.conns, conn)
-		c.mu.Unlock()
-	}()
-	select {
-	case <-ended:
-		return
-	case <-time.After(c.firstDelay):
-	}
 	lastEmpty := time.Time{}
 	for {
 		var b []byte
 		c.mu.Lock()
-		if !c.retired {
-			for _, e := range c.events {
-				if e.index > from {
-					b = append(b, e.frame()...)
-					from = e.index
-					if c.told.IsZero() {
-						c.told = time.Now()
-					}
-					c.rec.log("coordinator %s: event %d written", c.name, e.index)
-				}
-			}
-			if time.Since(lastEmpty) >= time.Second {
-				lastEmpty = time.Now()
-				b = binary.BigEndian.AppendUint32(b, 9)
-				b = binary.BigEndian.AppendUint64(b, from)
-				b = append(b, 0)
+		for _, e := range c.events {
+			if e.index > from {
+				b = append(b, e.frame()...)
+				from = e.index
+				c.rec.log("coordinator: event %d written", e.index)
 			}
 		}
+		if time.Since(lastEmpty) >= time.Second {
+			lastEmpty = time.Now()
+			b = binary.BigEndian.AppendUint32(b, 9)
+			b = binary.BigEndian.AppendUint64(b, from)
+			b = append(b, 0)
+		}
 		c.mu.Unlock()
 		if len(b) > 0 {
 			if _, err := conn.Write(b); err != nil {
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -125,7 +125,7 @@
 	now := time.Now()
 	for _, k := range c.snapshot() {
 		at, sw := findCall(switches, k.ref)
-		if !k.stood || sw == nil {
+		if !k.stood || sw == nil || k.hungUp {
 			continue
 		}
 		var from time.Time
