Platform: count what becomes of releases toward callers, and log a dropped one

The log could not tell whether the release was never matched to its call, was written to a connection that nobody reads, or was stored and never sent: the counts say "known 0" in all three. Change: the report every 5 s counts releases forwarded at once, stored, delivered later, dropped and pending; a drop is logged with the call's reference. Behaviour is unchanged.

--- a/internal/platform/callers.go
+++ b/internal/platform/callers.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 	"strconv"
@@ -404,14 +405,18 @@
 		to = c.busiestCaller()
 	}
 	if to != nil {
+		c.Stats.ReleasesForwarded++
 		to.sendDown(k.ref, cause, 0)
 		return
 	}
+	c.Stats.ReleasesStored++
 	line := string(jsonl.AppendDown(nil, k.ref, cause, 0))
 	c.orphanedReleases = append(c.orphanedReleases, line)
 	c.after(releaseLifetime, func() {
 		if len(c.orphanedReleases) > 0 && c.orphanedReleases[0] == line {
 			c.orphanedReleases = c.orphanedReleases[1:]
+			c.Stats.ReleasesDropped++
+			c.logLine(fmt.Sprintf("release of call %s dropped: no caller's connection took it for %v", k.ref, releaseLifetime))
 		}
 	})
 }
@@ -433,6 +438,7 @@
 	if len(c.orphanedReleases) == 0 {
 		return
 	}
+	c.Stats.ReleasesDelivered += uint64(len(c.orphanedReleases))
 	c.write(p.id, func(b []byte) []byte {
 		for _, l := range c.orphanedReleases {
 			b = append(b, l...)
--- a/internal/platform/core.go
+++ b/internal/platform/core.go
@@ -94,6 +94,10 @@
 	AttemptOutcomes                             [decide.NotSent + 1]uint64 // attempts that ended without an answer, by outcome
 	Adopted                                     uint64                     // calls that stood before the start and were adopted
 	CallerErrors, SwitchErrors, EvictedCallers  uint64
+
+	// Releases of standing calls toward callers: written to a connection at once, stored because no caller's connection
+	// was open, written later, and dropped.
+	ReleasesForwarded, ReleasesStored, ReleasesDelivered, ReleasesDropped uint64
 }
 
 // reportInterval is the time between two reports in the log.
@@ -107,6 +111,8 @@
 		"caller connections %d, errors %d, evicted %d; switch connections %d, errors %d",
 		s.Calls, s.Answered, s.Refused, s.Failed, s.Abandoned, c.openSetUps, c.QueuedCalls(), len(c.calls), s.Adopted, s.Attempts,
 		s.AttemptOutcomes, len(c.callers), s.CallerErrors, s.EvictedCallers, len(c.links), s.SwitchErrors))
+	c.logLine(fmt.Sprintf("releases to callers: forwarded at once %d, stored %d, delivered later %d, dropped %d, pending %d",
+		s.ReleasesForwarded, s.ReleasesStored, s.ReleasesDelivered, s.ReleasesDropped, len(c.orphanedReleases)))
 	text := "believed:"
 	for _, b := range c.Estimates(c.now) {
 		text += " [" + b.String() + "]"
