Platform: pending releases go out on whatever request shows a caller's connection

Seen by callers: a call stands, its callers close their connection after 4 s without a set-up, the switch releases the call. Cause: a release without a connection was stored, and the only place that sent stored ones was the path of a valid set-up that its caller still waits for (handleSetUp). Which connections count as callers' was decided in another place (hasRequested, read by busiestCaller), which each kind of request set or left unset by itself. So the store was never offered to a connection on which a caller released a call, named one with "at", or gave its set-up up in the same input; and a connection that had only named calls was not used for the releases of other calls. Why it works: every path that can show a caller's connection now ends in the place that empties the store. Tests: with the code before, TestPendingReleaseSentOnAnyCallersConnection fails in 5 of its 7 cases (release of the same call, release of another, another standing call, adoption, set-up and its give-up: got [], want "down 1 16"), and TestReleaseSentWhereCallsWereNamed fails. TestPendingReleaseNotSentToClosedCaller passed before too: it holds the new sending to open connections.

--- a/internal/platform/callers.go
+++ b/internal/platform/callers.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"maps"
 	"slices"
 	"strconv"
@@ -329,6 +328,7 @@
 	if k := c.calls[m.Ref]; k != nil {
 		switch {
 		case ok && o.isStanding: // the call is known already; it belongs to this connection from now on
+			p.callerRequestReceived()
 			if k.standing {
 				k.caller.standingCalls--
 				k.caller = p
@@ -348,16 +348,15 @@
 		p.sendDown(m.Ref, jsonl.CauseTemporaryFailure, 0)
 		return
 	}
+	p.callerRequestReceived()
 	if o.isStanding {
 		c.adoptCall(p, m.Ref, o)
 		return
 	}
-	p.hasRequested, p.lastUsed = true, c.now
 	if abandoned || p.eof { // the caller no longer waits
 		c.Stats.Abandoned++
 		return
 	}
-	c.sendOrphanedReleases(p)
 	if limit := c.cfg.Setup.MaxOpenCalls; limit > 0 && c.openSetUps >= limit || c.pastAnswerDeadline() {
 		c.Stats.Refused++
 		p.sendDown(m.Ref, jsonl.CauseCongestion, c.retryAfter())
@@ -378,15 +377,27 @@
 func (p *caller) handleRelease(m *jsonl.Message) {
 	k := p.core.calls[m.Ref]
 	switch {
+	case k == nil && p.core.isReleasePending(m.Ref): // the caller ends a call that is over already
+		p.callerRequestReceived()
 	case k == nil:
 	case k.standing:
-		p.hasRequested, p.lastUsed = true, p.core.now
+		p.callerRequestReceived()
 		p.core.releaseFromCaller(k, m.Cause)
 	case k.caller == p:
 		p.core.abandonCalls([]*call{k})
 	}
 }
 
+// callerRequestReceived records a request that shows that the connection is a caller's: a set-up, or one that names a
+// standing call. What ends a call may be sent on any caller's connection, so the pending releases are sent on this one,
+// whatever the request was.
+func (p *caller) callerRequestReceived() {
+	p.hasRequested, p.lastUsed = true, p.core.now
+	if !p.eof {
+		p.core.sendPendingReleases(p)
+	}
+}
+
 // handleClose handles the end of a caller's connection: set-ups that are open on it are abandoned, standing calls stay.
 func (p *caller) handleClose() {
 	if p.closed {
@@ -396,54 +407,3 @@
 	delete(p.core.callers, p.id)
 	p.core.abandonCalls(p.core.openCallsOf(p))
 }
-
-// sendReleaseToCaller sends the release of a standing call on its own connection. If that is closed, busiestCaller's is
-// used; if there is none, the release is stored for the next connection that sends a set-up.
-func (c *Core) sendReleaseToCaller(k *call, cause int) {
-	to := k.caller
-	if to.closed || to.eof {
-		to = c.busiestCaller()
-	}
-	if to != nil {
-		c.Stats.ReleasesForwarded++
-		to.sendDown(k.ref, cause, 0)
-		return
-	}
-	c.Stats.ReleasesStored++
-	line := string(jsonl.AppendDown(nil, k.ref, cause, 0))
-	c.orphanedReleases = append(c.orphanedReleases, line)
-	c.after(releaseLifetime, func() {
-		if len(c.orphanedReleases) > 0 && c.orphanedReleases[0] == line {
-			c.orphanedReleases = c.orphanedReleases[1:]
-			c.Stats.ReleasesDropped++
-			c.logLine(fmt.Sprintf("release of call %s dropped: no caller's connection took it for %v", k.ref, releaseLifetime))
-		}
-	})
-}
-
-// busiestCaller returns the connection with the most answered set-ups, as unknown peers have none, or the newest of
-// several. It returns nil if no connection has sent a request.
-func (c *Core) busiestCaller() (best *caller) {
-	for _, p := range c.callers {
-		if p.hasRequested && !p.eof && (best == nil || p.answeredSetUps > best.answeredSetUps ||
-			p.answeredSetUps == best.answeredSetUps && p.id > best.id) {
-			best = p
-		}
-	}
-	return best
-}
-
-// sendOrphanedReleases sends the stored releases to a caller.
-func (c *Core) sendOrphanedReleases(p *caller) {
-	if len(c.orphanedReleases) == 0 {
-		return
-	}
-	c.Stats.ReleasesDelivered += uint64(len(c.orphanedReleases))
-	c.write(p.id, func(b []byte) []byte {
-		for _, l := range c.orphanedReleases {
-			b = append(b, l...)
-		}
-		return b
-	})
-	c.orphanedReleases = nil
-}
--- a/internal/platform/core.go
+++ b/internal/platform/core.go
@@ -112,7 +112,7 @@
 		s.Calls, s.Answered, s.Refused, s.Failed, s.Abandoned, c.openSetUps, c.QueuedCalls(), len(c.calls), s.Adopted, s.Attempts,
 		s.AttemptOutcomes, len(c.callers), s.CallerErrors, s.EvictedCallers, len(c.links), s.SwitchErrors))
 	c.logLine(fmt.Sprintf("releases to callers: forwarded at once %d, stored %d, delivered later %d, dropped %d, pending %d",
-		s.ReleasesForwarded, s.ReleasesStored, s.ReleasesDelivered, s.ReleasesDropped, len(c.orphanedReleases)))
+		s.ReleasesForwarded, s.ReleasesStored, s.ReleasesDelivered, s.ReleasesDropped, len(c.pendingReleases)))
 	text := "believed:"
 	for _, b := range c.Estimates(c.now) {
 		text += " [" + b.String() + "]"
@@ -154,10 +154,10 @@
 	openSetUps int // set-ups that await their final answer
 	lastCallID decide.CallID
 
-	callers          map[ConnID]*caller
-	orphanedReleases []string // encoded releases of standing calls that no caller's connection could take yet
-	classes          map[string]int
-	quotedClasses    [][]byte // class names as JSON strings
+	callers         map[ConnID]*caller
+	pendingReleases []pendingRelease // in the order in which their calls ended
+	classes         map[string]int
+	quotedClasses   [][]byte // class names as JSON strings
 
 	switches      map[decide.ExchangeID]*switchPeer
 	links         map[ConnID]*link
@@ -379,7 +379,7 @@
 		}
 	}
 	c.discovery.checkIdle()
-	if c.stoppingSince != 0 && !c.exited && c.now-c.stoppingSince > minShutdownTime && len(c.calls) == 0 && len(c.orphanedReleases) == 0 {
+	if c.stoppingSince != 0 && !c.exited && c.now-c.stoppingSince > minShutdownTime && len(c.calls) == 0 && len(c.pendingReleases) == 0 {
 		c.exited = true
 		c.outputs = append(c.outputs, Exit{})
 	}
--- a/internal/platform/harness_test.go
+++ b/internal/platform/harness_test.go
@@ -243,8 +243,8 @@
 	for _, s := range h.Core.switches {
 		atSwitches += len(s.waitingAttempts) + s.standingCalls
 	}
-	if len(h.calls) != 0 || len(h.callsByID) != 0 || h.openSetUps != 0 || atSwitches != 0 || len(h.orphanedReleases) != 0 {
+	if len(h.calls) != 0 || len(h.callsByID) != 0 || h.openSetUps != 0 || atSwitches != 0 || len(h.pendingReleases) != 0 {
 		h.t.Fatalf("left over: %d calls, %d known to the module, %d without a final answer, %d attempts and calls at switches, %d undelivered releases",
-			len(h.calls), len(h.callsByID), h.openSetUps, atSwitches, len(h.orphanedReleases))
+			len(h.calls), len(h.callsByID), h.openSetUps, atSwitches, len(h.pendingReleases))
 	}
 }
--- /dev/null
+++ b/internal/platform/releases_test.go
@@ -0,0 +1,70 @@
+package platform
+
+import "testing"
+
+const heartbeat = `{"t":"hb","ref":"00000000000000aa","f":{},"c":0}`
+
+// newUnconnectedCalls returns a harness in which the calls with the references 1 to n stand at switch 1 and no caller
+// is connected.
+func newUnconnectedCalls(t *testing.T, n int) *harness {
+	t.Helper()
+	h := newConnectedHarness(t)
+	p := h.accept()
+	for ref := 1; ref <= n; ref++ {
+		h.receiveLines(p, setUp(ref, 1, ""))
+		h.receiveLines(h.switchConns[1], up(ref))
+	}
+	h.takeLines(p)
+	h.Closed(h.clock, p)
+	return h
+}
+
+// TestPendingReleaseSentOnAnyCallersConnection guards against calls left standing at their callers: a release that
+// found no caller's connection was sent on the next set-up only, and on no other request of a caller.
+func TestPendingReleaseSentOnAnyCallersConnection(t *testing.T) {
+	for name, c := range map[string]struct {
+		requests, want []string
+	}{
+		"set-up":                 {[]string{setUp(9, 1, "")}, []string{"down 1 16"}},
+		"set-up and its give-up": {[]string{setUp(9, 1, ""), down(9, 16, "")}, []string{"down 1 16"}},
+		"refused set-up":         {[]string{setUp(9, 9, "")}, []string{"down 1 16", "down 9 42"}},
+		"release of another":     {[]string{down(2, 16, "")}, []string{"down 1 16"}},
+		"release of the same":    {[]string{down(1, 16, "")}, []string{"down 1 16"}},
+		"another standing call":  {[]string{setUp(2, 1, ";at:s-00000001")}, []string{"down 1 16"}},
+		"adoption":               {[]string{setUp(9, 1, ";at:s-00000001")}, []string{"down 1 16"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newUnconnectedCalls(t, 2)
+			h.receiveLines(h.switchConns[1], down(1, 16, ""))
+			h.advance(300 * ms)
+			p := h.accept()
+			h.receiveLines(p, c.requests...)
+			h.expectLines(p, c.want...)
+			h.receiveLines(p, setUp(10, 2, ""))
+			h.expectLines(p) // the release is not repeated
+		})
+	}
+}
+
+// TestReleaseSentWhereCallsWereNamed guards against calls left standing at their callers: a connection on which a caller
+// had only named standing calls was not used for the release of a call whose own connection was closed.
+func TestReleaseSentWhereCallsWereNamed(t *testing.T) {
+	h := newUnconnectedCalls(t, 2)
+	p := h.accept()
+	h.receiveLines(p, setUp(2, 1, ";at:s-00000001"))
+	h.receiveLines(h.switchConns[1], down(1, 16, ""))
+	h.expectLines(p, "down 1 16")
+}
+
+// TestPendingReleaseNotSentToClosedCaller guards against a release written to a connection that its caller has closed
+// right after its request: the release stays pending for the next connection.
+func TestPendingReleaseNotSentToClosedCaller(t *testing.T) {
+	h := newUnconnectedCalls(t, 2)
+	h.receiveLines(h.switchConns[1], down(1, 16, ""))
+	p := h.accept()
+	h.processBatch(Input{Conn: p, Kind: InputData, Bytes: joinLines(down(2, 16, "")), EOF: true}, Input{Conn: p, Kind: InputClosed})
+	h.expectLines(p)
+	q := h.accept()
+	h.receiveLines(q, setUp(9, 1, ""))
+	h.expectLines(q, "down 1 16")
+}
