Platform: a call whose release is pending is not adopted as a standing one

Seen by callers: a caller closes its connection, its call ends, and it names the call with "at" on a new connection. It got the release, and a second one ten minutes later; where the connection closed at once, the call went on counting as standing at its switch. Cause: adoptCall knows the releases that came before a call was named (earlyReleases), but did not look at the pending ones, whose calls are known to be over. Change: handleSetUp adopts no call whose release is pending; sending the pending releases tells the caller. Test: TestCallWithPendingReleaseNotAdopted failed before in both cases: "left over: 1 calls, ... 1 attempts and calls at switches".

--- a/internal/platform/callers.go
+++ b/internal/platform/callers.go
@@ -348,9 +348,12 @@
 		p.sendDown(m.Ref, jsonl.CauseTemporaryFailure, 0)
 		return
 	}
+	isOver := c.isReleasePending(m.Ref)
 	p.callerRequestReceived()
 	if o.isStanding {
-		c.adoptCall(p, m.Ref, o)
+		if !isOver { // else its release was sent just now, or is still pending
+			c.adoptCall(p, m.Ref, o)
+		}
 		return
 	}
 	if abandoned || p.eof { // the caller no longer waits
--- a/internal/platform/releases_test.go
+++ b/internal/platform/releases_test.go
@@ -68,3 +68,26 @@
 	h.receiveLines(q, setUp(9, 1, ""))
 	h.expectLines(q, "down 1 16")
 }
+
+// TestCallWithPendingReleaseNotAdopted guards against a second release, ten minutes late: a caller that named a call
+// whose release was pending had the call adopted as a standing one, although it was over.
+func TestCallWithPendingReleaseNotAdopted(t *testing.T) {
+	for name, closes := range map[string]bool{"connection stays open": false, "connection is closed": true} {
+		t.Run(name, func(t *testing.T) {
+			h := newUnconnectedCalls(t, 1)
+			h.receiveLines(h.switchConns[1], down(1, 16, ""))
+			p := h.accept()
+			h.processBatch(Input{Conn: p, Kind: InputData, Bytes: joinLines(setUp(1, 1, ";at:s-00000001")), EOF: closes})
+			if closes {
+				h.expectLines(p)
+				h.Closed(h.clock, p)
+				p = h.accept()
+				h.receiveLines(p, setUp(9, 9, ""))
+				h.expectLines(p, "down 1 16", "down 9 42")
+			} else {
+				h.expectLines(p, "down 1 16")
+			}
+			h.expectIdle()
+		})
+	}
+}
