Platform: the release of a call that ended before it was named reaches an open connection

Seen by callers: after a restart of the proxy a caller names its call with "at" and closes the connection at once; the call is over, and its release was written to that connection, where nobody reads it. Cause: adoptCall wrote the release to the naming connection without the checks of sendReleaseToCaller (closed, end of stream read), and had already removed the early release. Change: adoptCall goes through sendReleaseToCaller, which takes the connection and the reference instead of the call. Test: TestReleaseBeforeAdoptionNotSentToClosedCaller failed before in both cases: 'connection 4 got ["down 3 16"], want []', and the same with cause 41 for a switch that is not on the list.

--- a/internal/platform/calls.go
+++ b/internal/platform/calls.go
@@ -266,7 +266,7 @@
 	if cause != jsonl.CauseNormal {
 		o = decide.Cut
 	}
-	c.sendReleaseToCaller(k, cause)
+	c.sendReleaseToCaller(k.caller, k.ref, cause)
 	c.endStandingCall(k, o, r)
 }
 
@@ -286,7 +286,7 @@
 		if !known {
 			e.cause = jsonl.CauseTemporaryFailure
 		}
-		p.sendDown(ref, e.cause, 0)
+		c.sendReleaseToCaller(p, ref, e.cause)
 		return
 	}
 	k := &call{ref: ref, caller: p, class: o.Class, standing: true, standingAt: to}
--- a/internal/platform/releases.go
+++ b/internal/platform/releases.go
@@ -14,21 +14,21 @@
 	cause int
 }
 
-// sendReleaseToCaller sends the release of a standing call on its own connection. If that is closed, busiestCaller's is
-// used; if there is none, the release is stored for the next connection on which a caller sends a request.
-func (c *Core) sendReleaseToCaller(k *call, cause int) {
-	to := k.caller
+// sendReleaseToCaller sends the release of a call that stood to the caller's connection to. If that is closed,
+// busiestCaller's is used; if there is none, the release is stored for the next connection on which a caller sends a
+// request.
+func (c *Core) sendReleaseToCaller(to *caller, ref string, cause int) {
 	if to.closed || to.eof {
 		to = c.busiestCaller()
 	}
 	if to != nil {
 		c.Stats.ReleasesForwarded++
-		to.sendDown(k.ref, cause, 0)
+		to.sendDown(ref, cause, 0)
 		return
 	}
 	c.Stats.ReleasesStored++
-	c.pendingReleases = append(c.pendingReleases, pendingRelease{k.ref, cause})
-	c.after(releaseLifetime, func() { c.dropPendingRelease(k.ref) })
+	c.pendingReleases = append(c.pendingReleases, pendingRelease{ref, cause})
+	c.after(releaseLifetime, func() { c.dropPendingRelease(ref) })
 }
 
 // dropPendingRelease gives a release up that no connection has taken in time.
--- a/internal/platform/releases_test.go
+++ b/internal/platform/releases_test.go
@@ -91,3 +91,24 @@
 		})
 	}
 }
+
+// TestReleaseBeforeAdoptionNotSentToClosedCaller guards against a call left standing: the release of a call that ended
+// before it was named was written to the connection that named it, although its caller had closed that.
+func TestReleaseBeforeAdoptionNotSentToClosedCaller(t *testing.T) {
+	for name, c := range map[string]struct{ received, at, want string }{
+		"released by the switch": {down(3, 16, ""), ";at:s-00000001", "down 3 16"},
+		"switch not on the list": {down(4, 16, ""), ";at:s-00000077", "down 3 41"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newConnectedHarness(t)
+			h.receiveLines(h.switchConns[1], c.received)
+			p := h.accept()
+			h.processBatch(Input{Conn: p, Kind: InputData, Bytes: joinLines(setUp(3, 1, c.at)), EOF: true}, Input{Conn: p, Kind: InputClosed})
+			h.expectLines(p)
+			q := h.accept()
+			h.receiveLines(q, setUp(9, 9, ""))
+			h.expectLines(q, c.want, "down 9 42")
+			h.expectIdle()
+		})
+	}
+}
