Platform: a pending release is kept until a caller comes back, not dropped after 8 s

Seen by callers: all callers' connections are closed, a call ends, and a caller comes back more than 8 s later: its call is left standing for good. Cause: sendReleaseToCaller started a timer that dropped each stored release after releaseLifetime. Change: releases are kept until a caller's connection takes them, at most 4096; with more, the oldest is dropped, counted and logged. A shutdown waits for a release for 8 s as before. The report in the log has the age of the oldest. Tests: TestPendingReleaseKeptWhileNoCallerIsConnected failed before ('at 1m0.05s connection 7 got [], want ["down 1 16"]'), and TestPendingReleasesAreBounded too (0 releases dropped, want 2: there was no bound). TestShutdownWaitsForFreshReleasesOnly passed before and holds the wait of a shutdown.

--- a/internal/platform/core.go
+++ b/internal/platform/core.go
@@ -81,7 +81,7 @@
 	// keep arriving until then.
 	answerDeadlineMargin = 100 * time.Millisecond
 
-	releaseLifetime     = 8 * time.Second        // a release that cannot be forwarded within this time is dropped, an early release too
+	releaseLifetime     = 8 * time.Second        // an early release is dropped after this time, and a shutdown waits for a pending one no longer
 	adoptedCallLifetime = 10 * time.Minute       // an adopted call is released after this time if the switch has not released it
 	maxEarlyReleases    = 1024                   // releases stored for calls that a caller may still ask to adopt
 	maintenanceInterval = 250 * time.Millisecond // interval of the periodic maintenance
@@ -96,7 +96,7 @@
 	CallerErrors, SwitchErrors, EvictedCallers  uint64
 
 	// Releases of standing calls toward callers: written to a connection at once, stored because no caller's connection
-	// was open, written later, and dropped.
+	// was open, written later, and dropped because too many were stored.
 	ReleasesForwarded, ReleasesStored, ReleasesDelivered, ReleasesDropped uint64
 }
 
@@ -111,8 +111,9 @@
 		"caller connections %d, errors %d, evicted %d; switch connections %d, errors %d",
 		s.Calls, s.Answered, s.Refused, s.Failed, s.Abandoned, c.openSetUps, c.QueuedCalls(), len(c.calls), s.Adopted, s.Attempts,
 		s.AttemptOutcomes, len(c.callers), s.CallerErrors, s.EvictedCallers, len(c.links), s.SwitchErrors))
-	c.logLine(fmt.Sprintf("releases to callers: forwarded at once %d, stored %d, delivered later %d, dropped %d, pending %d",
-		s.ReleasesForwarded, s.ReleasesStored, s.ReleasesDelivered, s.ReleasesDropped, len(c.pendingReleases)))
+	c.logLine(fmt.Sprintf("releases to callers: forwarded at once %d, stored %d, delivered later %d, dropped %d, pending %d, the oldest for %v",
+		s.ReleasesForwarded, s.ReleasesStored, s.ReleasesDelivered, s.ReleasesDropped, len(c.pendingReleases),
+		c.oldestReleaseAge().Round(time.Millisecond)))
 	text := "believed:"
 	for _, b := range c.Estimates(c.now) {
 		text += " [" + b.String() + "]"
@@ -379,7 +380,7 @@
 		}
 	}
 	c.discovery.checkIdle()
-	if c.stoppingSince != 0 && !c.exited && c.now-c.stoppingSince > minShutdownTime && len(c.calls) == 0 && len(c.pendingReleases) == 0 {
+	if c.stoppingSince != 0 && !c.exited && c.now-c.stoppingSince > minShutdownTime && len(c.calls) == 0 && !c.hasFreshRelease() {
 		c.exited = true
 		c.outputs = append(c.outputs, Exit{})
 	}
--- a/internal/platform/releases.go
+++ b/internal/platform/releases.go
@@ -1,17 +1,21 @@
 package platform
 
 import (
-	"fmt"
 	"slices"
+	"time"
 
 	"pipitring/internal/jsonl"
 )
 
+// maxPendingReleases limits the pending releases. All of them fit into the buffer of one caller's connection.
+const maxPendingReleases = 4096
+
 // pendingRelease is the release of a standing call that is over, whose caller could not be notified yet because no
 // caller's connection was open.
 type pendingRelease struct {
-	ref   string
-	cause int
+	ref      string
+	cause    int
+	storedAt time.Duration
 }
 
 // sendReleaseToCaller sends the release of a call that stood to the caller's connection to. If that is closed,
@@ -26,20 +30,33 @@
 		to.sendDown(ref, cause, 0)
 		return
 	}
+	c.storeRelease(pendingRelease{ref, cause, c.now})
+}
+
+// storeRelease stores a release until a caller's connection takes it. If there are too many, the oldest is dropped.
+func (c *Core) storeRelease(r pendingRelease) {
+	if len(c.pendingReleases) >= maxPendingReleases {
+		c.Stats.ReleasesDropped++
+		c.logLine("release of call " + c.pendingReleases[0].ref + " dropped: too many wait for a caller's connection")
+		c.pendingReleases = c.pendingReleases[1:]
+	}
 	c.Stats.ReleasesStored++
-	c.pendingReleases = append(c.pendingReleases, pendingRelease{ref, cause})
-	c.after(releaseLifetime, func() { c.dropPendingRelease(ref) })
+	c.pendingReleases = append(c.pendingReleases, r)
 }
 
-// dropPendingRelease gives a release up that no connection has taken in time.
-func (c *Core) dropPendingRelease(ref string) {
-	i := slices.IndexFunc(c.pendingReleases, func(r pendingRelease) bool { return r.ref == ref })
-	if i < 0 {
-		return
+// hasFreshRelease reports whether a release has been pending for releaseLifetime or less, so that a shutdown waits for
+// its caller.
+func (c *Core) hasFreshRelease() bool {
+	n := len(c.pendingReleases)
+	return n > 0 && c.now-c.pendingReleases[n-1].storedAt <= releaseLifetime
+}
+
+// oldestReleaseAge returns how long the oldest release has been pending; 0 if none is.
+func (c *Core) oldestReleaseAge() time.Duration {
+	if len(c.pendingReleases) == 0 {
+		return 0
 	}
-	c.pendingReleases = slices.Delete(c.pendingReleases, i, i+1)
-	c.Stats.ReleasesDropped++
-	c.logLine(fmt.Sprintf("release of call %s dropped: no caller's connection took it for %v", ref, releaseLifetime))
+	return c.now - c.pendingReleases[0].storedAt
 }
 
 // isReleasePending reports whether the call is over and its caller has not been notified.
--- a/internal/platform/releases_test.go
+++ b/internal/platform/releases_test.go
@@ -1,6 +1,9 @@
 package platform
 
-import "testing"
+import (
+	"testing"
+	"time"
+)
 
 const heartbeat = `{"t":"hb","ref":"00000000000000aa","f":{},"c":0}`
 
@@ -112,3 +115,49 @@
 		})
 	}
 }
+
+// TestPendingReleaseKeptWhileNoCallerIsConnected guards against a call left standing for good: its release was dropped
+// after 8 s if no caller had come back by then.
+func TestPendingReleaseKeptWhileNoCallerIsConnected(t *testing.T) {
+	h := newUnconnectedCalls(t, 2)
+	h.receiveLines(h.switchConns[1], down(1, 16, ""))
+	h.advance(time.Minute)
+	p := h.accept()
+	h.receiveLines(p, down(2, 16, ""))
+	h.expectLines(p, "down 1 16")
+	h.expectIdle()
+}
+
+// TestPendingReleasesAreBounded guards against memory that grows while no caller is connected: of too many pending
+// releases the oldest are dropped, and counted.
+func TestPendingReleasesAreBounded(t *testing.T) {
+	h := newConnectedHarness(t)
+	gone := &caller{closed: true}
+	for n := range maxPendingReleases + 2 {
+		h.sendReleaseToCaller(gone, ref(n+1), 16)
+	}
+	if h.Stats.ReleasesDropped != 2 {
+		t.Fatalf("%d releases dropped, want 2", h.Stats.ReleasesDropped)
+	}
+	p := h.accept()
+	h.receiveLines(p, setUp(maxPendingReleases+9, 1, ""))
+	if got := h.takeLines(p); len(got) != maxPendingReleases || got[0].Ref != ref(3) {
+		t.Fatalf("%d lines, the first for %s; want %d from %s on", len(got), got[0].Ref, maxPendingReleases, ref(3))
+	}
+}
+
+// TestShutdownWaitsForFreshReleasesOnly guards against a process that never ends by itself: a release whose caller does
+// not come back keeps it for releaseLifetime and no longer.
+func TestShutdownWaitsForFreshReleasesOnly(t *testing.T) {
+	h := newUnconnectedCalls(t, 1)
+	h.receiveLines(h.switchConns[1], down(1, 16, ""))
+	h.Shutdown(h.clock)
+	h.advance(releaseLifetime - maintenanceInterval)
+	if h.exited {
+		t.Fatal("process ends with a release that its caller may still come for")
+	}
+	h.advance(2 * maintenanceInterval)
+	if !h.exited {
+		t.Fatal("process does not end")
+	}
+}
