Platform: a release is not written to a health check while a caller may still come

Seen by callers: a front tests the proxy on a short connection, a call ends in that moment whose own connection is closed, and its release is written to the test. The caller that comes right after is not told. Cause: a heartbeat marked a connection like a caller's request did (hasRequested), and busiestCaller took any such connection. Tests: before, TestReleaseNotSentToHealthCheck failed ('got ["down 1 16"], want []'), TestDueReleaseSentToHealthCheck too (sent 0 times within 8 s). TestReleaseSentWhereHeartbeatsStay passed and keeps the time limit for a caller that only sends heartbeats. Whether a front takes releases is now a question to the operators.

--- a/internal/platform/callers.go
+++ b/internal/platform/callers.go
@@ -26,7 +26,8 @@
 	lines          jsonl.LineSplitter
 	openedAt       time.Duration
 	lastUsed       time.Duration // when a request was last handled on it, or a call of it ended
-	hasRequested   bool          // a set-up, a release of a standing call or a heartbeat was received
+	hasRequested   bool          // a heartbeat or a request of a caller was received
+	isCaller       bool          // a request of a caller was received: a heartbeat alone may be a health check's
 	openSetUps     int           // set-ups that await their final answer
 	standingCalls  int           // standing calls that were set up or adopted on it
 	answeredSetUps int           // set-ups that were answered on it
@@ -226,6 +227,7 @@
 	case jsonl.TypeHeartbeat:
 		p.hasRequested, p.lastUsed = true, p.core.now
 		p.core.write(p.id, func(b []byte) []byte { return jsonl.AppendHeartbeatOK(b, m.Ref, p.core.Ready()) })
+		p.core.sendDueReleases(p)
 	case jsonl.TypeAck, jsonl.TypeWait, jsonl.TypeHeartbeatOK:
 	default:
 		p.protocolError(m.Ref)
@@ -395,10 +397,8 @@
 // standing call. What ends a call may be sent on any caller's connection, so the pending releases are sent on this one,
 // whatever the request was.
 func (p *caller) callerRequestReceived() {
-	p.hasRequested, p.lastUsed = true, p.core.now
-	if !p.eof {
-		p.core.sendPendingReleases(p)
-	}
+	p.isCaller, p.hasRequested, p.lastUsed = true, true, p.core.now
+	p.core.sendPendingReleases(p)
 }
 
 // handleClose handles the end of a caller's connection: set-ups that are open on it are abandoned, standing calls stay.
--- a/internal/platform/core.go
+++ b/internal/platform/core.go
@@ -371,6 +371,7 @@
 func (c *Core) maintain() {
 	c.timerQueue.Set(&c.maintenanceTimer, c.now+maintenanceInterval)
 	c.closeIdleCallers()
+	c.retryPendingReleases()
 	for _, s := range c.switchesByID() {
 		s.checkLiveness()
 	}
--- a/internal/platform/releases_test.go
+++ b/internal/platform/releases_test.go
@@ -161,3 +161,50 @@
 		t.Fatal("process does not end")
 	}
 }
+
+// TestReleaseNotSentToHealthCheck guards against a call left standing: its release was written to the connection of a
+// health check, which was the only one open, and the caller that came right after was not told.
+func TestReleaseNotSentToHealthCheck(t *testing.T) {
+	h := newUnconnectedCalls(t, 2)
+	check := h.accept()
+	h.receiveLines(check, heartbeat)
+	h.expectLines(check, "hb_ok aa")
+	h.receiveLines(h.switchConns[1], down(1, 16, ""))
+	h.advance(20 * ms)
+	h.expectLines(check)
+	h.Closed(h.clock, check)
+	p := h.accept()
+	h.receiveLines(p, down(2, 16, ""))
+	h.expectLines(p, "down 1 16")
+}
+
+// TestReleaseSentWhereHeartbeatsStay guards against a call left standing: its caller holds a connection open on which it
+// has sent only heartbeats, and no other connection comes.
+func TestReleaseSentWhereHeartbeatsStay(t *testing.T) {
+	h := newUnconnectedCalls(t, 1)
+	p := h.accept()
+	h.receiveLines(p, heartbeat)
+	h.receiveLines(h.switchConns[1], down(1, 16, ""))
+	h.advance(time.Second)
+	h.expectLines(p, "hb_ok aa", "down 1 16")
+}
+
+// TestDueReleaseSentToHealthCheck guards against a release later than 8 s after the end of its call where only health
+// checks are left to send it to.
+func TestDueReleaseSentToHealthCheck(t *testing.T) {
+	h := newUnconnectedCalls(t, 1)
+	h.receiveLines(h.switchConns[1], down(1, 16, ""))
+	sent := 0
+	for range 8 {
+		check := h.accept()
+		h.receiveLines(check, heartbeat)
+		h.advance(20 * ms)
+		sent += len(h.takeLines(check)) - 1
+		h.Closed(h.clock, check)
+		h.advance(980 * ms)
+	}
+	if sent != 1 {
+		t.Fatalf("release sent %d times within 8 s", sent)
+	}
+	h.expectIdle()
+}
