Platform: switches, callers and calls split into files of one job each

Declarations are moved only: all lines before and after, sorted, differ in the headings of three constant blocks alone.

--- a/internal/platform/batch.go
+++ b/internal/platform/batch.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"pipitring/decide"
 	"pipitring/internal/jsonl"
 )
 
@@ -97,3 +98,64 @@
 	}
 	return abandoned
 }
+
+// Connected reports that a dialled connection is established.
+func (c *Core) Connected(now time.Duration, id ConnID) {
+	c.advanceClock(now)
+	if id == c.discovery.conn {
+		c.discovery.connected()
+		return
+	}
+	if l := c.links[id]; l != nil && l.peer.dialling == id {
+		if l.peer.phase == decide.Removed && l.peer.standingCalls == 0 {
+			l.peer.dialling = 0
+			delete(c.links, id)
+			c.close(id, false)
+			return
+		}
+		l.peer.linkUp(l)
+		return
+	}
+	c.close(id, false) // no longer needed, or unknown
+}
+
+// DialFailed reports that a connection was not established.
+func (c *Core) DialFailed(now time.Duration, id ConnID, reason DialFailure) {
+	c.advanceClock(now)
+	if id == c.discovery.conn {
+		if reason == DialNoDescriptors {
+			c.evictIdleCaller()
+		}
+		c.discovery.connectionLost()
+		return
+	}
+	if l := c.links[id]; l != nil && l.peer.dialling == id {
+		l.peer.handleDialFailure(l, reason)
+	}
+}
+
+// Receive handles bytes received on a connection.
+func (c *Core) Receive(now time.Duration, id ConnID, b []byte) {
+	c.advanceClock(now)
+	if p := c.callers[id]; p != nil {
+		p.parseInput(b)
+		p.handleLines()
+	} else if l := c.links[id]; l != nil {
+		l.receive(b)
+	} else if id == c.discovery.conn {
+		c.discovery.receive(b)
+	}
+}
+
+// Closed reports that the peer closed a connection, or that it failed.
+func (c *Core) Closed(now time.Duration, id ConnID) {
+	c.advanceClock(now)
+	if p := c.callers[id]; p != nil {
+		p.handleClose()
+	} else if l := c.links[id]; l != nil {
+		l.peer.linkClosedAt = max(1, c.now)
+		l.handleLoss()
+	} else if id == c.discovery.conn {
+		c.discovery.connectionLost()
+	}
+}
