Platform: list events read together are applied before any is acted on

Cause: applyList acted on each event of `known` by itself: handleListChange, maintainLinks, connect. A switch that was ready in one event and gone in a later one was dialled; the process now at its address repeats its releases on the first connection that comes up, and Connected closes one of a removed switch without reading. Events that the coordinator sends together had the same fault. Change: applyList applies all events to the switches, then passes them to the module, then acts on each changed switch once. A switch that is removed and listed again within them counts as restarted, as its removal is no longer acted on in between. Why it works: only the switch that the last event has at an address is dialled, so its releases come on a link that is read.

--- a/internal/platform/core.go
+++ b/internal/platform/core.go
@@ -293,26 +293,40 @@
 	c.timerQueue.Set(&timers.Entry[func()]{Value: f}, c.now+max(d, 0))
 }
 
-// applyList applies events of the coordinator. Full lists are passed to the decision module as kind.
+// applyList applies events of the coordinator that were read together. Full lists are passed to the decision module as
+// kind. The events are applied to all switches before any of them is acted on: an earlier one may name a switch that a
+// later one has removed, and whose address belongs to another switch by now.
 func (c *Core) applyList(kind decide.ListKind, events []coordinator.Event) {
+	var changed []*switchPeer
 	for _, ev := range events {
-		list := decide.ListUpdate{Kind: decide.ListChanges}
-		if ev.Full {
-			list.Kind = kind
-		}
-		for _, e := range ev.Entries {
-			list.Entries = append(list.Entries, decide.Entry{Exchange: decide.ExchangeID(e.ID), Number: e.ExchangeNumber,
-				Zone: e.Zone, Phase: e.Phase, Started: c.moduleStart(e.Started)})
-		}
-		changed := c.applyEvent(ev) // before the module can use the entries
-		c.feed(list)
-		for _, s := range changed { // after the module has handled the update
+		changed = append(changed, c.applyEvent(ev)...)
+	}
+	for _, ev := range events {
+		c.feed(c.listUpdate(kind, ev))
+	}
+	handled := map[*switchPeer]bool{}
+	for _, s := range changed { // after the module has handled the updates
+		if !handled[s] {
+			handled[s] = true
 			s.handleListChange()
 		}
 	}
 	c.enforceCallerBudget()
 }
 
+// listUpdate converts an event of the coordinator for the decision module. A full list is of the given kind.
+func (c *Core) listUpdate(kind decide.ListKind, ev coordinator.Event) decide.ListUpdate {
+	list := decide.ListUpdate{Kind: decide.ListChanges}
+	if ev.Full {
+		list.Kind = kind
+	}
+	for _, e := range ev.Entries {
+		list.Entries = append(list.Entries, decide.Entry{Exchange: decide.ExchangeID(e.ID), Number: e.ExchangeNumber,
+			Zone: e.Zone, Phase: e.Phase, Started: c.moduleStart(e.Started)})
+	}
+	return list
+}
+
 // moduleStart converts a start time in Unix milliseconds to the decision module's clock; 0 means long ago. Start
 // times come from the same clock as the proxy's wall-clock time, so they need no correction.
 func (c *Core) moduleStart(unixMs int64) time.Duration {
--- a/internal/platform/switches.go
+++ b/internal/platform/switches.go
@@ -20,7 +20,7 @@
 	phase            decide.Phase
 	started          int64
 	replaced         bool    // a switch with another ID has taken over its address
-	restarted        bool    // the list has a later start time; cleared by handleListChange
+	restarted        bool    // the list has a later start time, or it was removed and is back; cleared by handleListChange
 	links            []*link // established links
 	dialling         ConnID  // 0 if no dial is in progress
 	retryScheduled   bool    // maintainLinks is due after the retry delay
@@ -62,7 +62,7 @@
 			s = &switchPeer{core: c, id: decide.ExchangeID(e.ID), started: e.Started, lastReceived: c.now}
 			c.switches[s.id] = s
 		}
-		s.restarted = s.restarted || e.Started > s.started
+		s.restarted = s.restarted || e.Started > s.started || s.phase == decide.Removed && e.Phase != decide.Removed
 		s.number, s.phase, s.started = e.ExchangeNumber, e.Phase, e.Started
 		changed = append(changed, s)
 		if e.Addr == s.addr {
