Platform: a new start time ends the calls of the process before, also beside an open link

Cause: handleListChange ended calls on a new start time only if no link was open. A link to the new process was open by then; it counted as one to the process before, reset the silence that would have ended the calls, and hid the restart. Ruled out: a release not read or not passed on (the new process knows none of the calls, and sends none). With links open, a heartbeat goes out on each; a second later those that have answered belong to the present process. Calls set up on them, and calls that stand since after the first of them was established, are kept; the others are released with cause 41 and the links that did not answer are closed. Only this proxy's own times are compared. Why it works: a dead process answers nothing, so an answer proves which process a link belongs to, whatever came first of list, dial, reset and line. Tests: before, TestCallsBeforeRestartEndBesideOpenLink, TestCallsEndWhenNoLinkAnswersAfterRestart ('got [], want ["down 1 41"]') and TestAdoptedCallsEndAtRestart ('got [], want ["down 3 41"]') failed; TestCallsAfterRestartStand failed for want of the heartbeat, and holds the calls of a process that answers.

--- a/internal/platform/calls.go
+++ b/internal/platform/calls.go
@@ -24,8 +24,9 @@
 	timer       timers.Entry[func()]
 
 	standing   bool
-	standingAt *switchPeer // the switch where it stands; nil before
-	link       *link       // the link of its set-up; nil before, and if it was adopted
+	standingAt *switchPeer   // the switch where it stands; nil before
+	stoodAt    time.Duration // when it was answered or adopted
+	link       *link         // the link of its set-up; nil before, and if it was adopted
 }
 
 // attempt is one set-up of a call to a switch, from the decision module's SetUp to its answer or end.
@@ -241,7 +242,7 @@
 	c.timerQueue.Stop(&a.timer)
 	delete(a.link.openAttempts, k.ref)
 	c.concludeSetUp(k)
-	k.standing, k.standingAt, k.link, k.desc, k.openAttempt = true, a.peer, a.link, nil, nil
+	k.standing, k.standingAt, k.stoodAt, k.link, k.desc, k.openAttempt = true, a.peer, c.now, a.link, nil, nil
 	a.peer.standingCalls++
 	k.caller.standingCalls++
 	k.caller.answeredSetUps++
--- a/internal/platform/links.go
+++ b/internal/platform/links.go
@@ -33,6 +33,9 @@
 	openAttempts map[string]*attempt // open attempts, by reference
 	closed       bool
 
+	establishedAt     time.Duration
+	answeredHeartbeat bool // a heartbeat was answered since the last restart check began
+
 	lineDueSince time.Duration // since when a line is due; 0 if none is
 	halfOpen     bool          // a line has been overdue for halfOpenTimeout
 	lastLineAt   time.Duration // when it last delivered a complete line; 0 if never
@@ -93,7 +96,7 @@
 	if s.dialledAt >= s.recoveryLinkAt {
 		s.recoveryLinkAt = 0
 	}
-	s.lastReceived = s.core.now
+	s.lastReceived, l.establishedAt = s.core.now, s.core.now
 	s.links = append(s.links, l)
 	l.expectLine() // the first load report
 	if len(s.unsentReleases) > 0 {
@@ -189,6 +192,8 @@
 		case k == nil && c.now < releaseLifetime && len(c.earlyReleases) < maxEarlyReleases:
 			c.earlyReleases[m.Ref] = earlyRelease{c.now, m.Cause}
 		}
+	case jsonl.TypeHeartbeatOK:
+		l.answeredHeartbeat = true
 	case jsonl.TypeGauge:
 		s.hasReported = true
 		c.feed(decide.ReportReceived{Exchange: s.id, Outcome: decide.Completed, Report: c.parseReport(m)})
--- /dev/null
+++ b/internal/platform/restart_test.go
@@ -0,0 +1,111 @@
+package platform
+
+import (
+	"testing"
+	"time"
+
+	"pipitring/decide"
+)
+
+// tellRestart sends a list event with a later start time of switch 1.
+func (h *harness) tellRestart() {
+	restarted := entry(1, 1, 2, decide.Ready)
+	restarted.Started = 1_700_000_000_000
+	h.updateList(2, restarted)
+}
+
+// newSecondLink establishes another link to switch 1 and returns the earlier one and the new one.
+func (h *harness) newSecondLink() (first, second ConnID) {
+	first = h.switchConns[1]
+	h.Core.switches[1].connect()
+	for _, d := range h.takeDials() {
+		if d.To.Port() != 7070 {
+			h.connect(d)
+		}
+	}
+	return first, h.switchConns[1]
+}
+
+// newCallsAcrossRestart returns a harness in which call 1 of caller p was set up before switch 1 restarted, and call 2 on
+// a link to its new process. The link of call 1 is reset if reset is set, else half-open.
+func newCallsAcrossRestart(t *testing.T, reset bool) (h *harness, p, before, after ConnID) {
+	t.Helper()
+	h = newConnectedHarness(t)
+	p = newStandingCall(h)
+	h.advance(100 * ms)
+	before, after = h.newSecondLink()
+	if reset {
+		h.Closed(h.clock, before)
+	} else {
+		h.Core.links[before].halfOpen = true // set-ups go to the other link
+	}
+	h.receiveLines(p, setUp(2, 1, ""))
+	h.receiveLines(after, up(2))
+	h.expectLines(p, "up 2")
+	return h, p, before, after
+}
+
+// TestCallsBeforeRestartEndBesideOpenLink guards against calls left standing: the list's new start time ended no call
+// while a link was open, although that was one to the new process.
+func TestCallsBeforeRestartEndBesideOpenLink(t *testing.T) {
+	for name, reset := range map[string]bool{"link before is reset": true, "link before is half-open": false} {
+		t.Run(name, func(t *testing.T) {
+			h, p, before, after := newCallsAcrossRestart(t, reset)
+			h.tellRestart()
+			if h.answerHeartbeats(after) != 1 {
+				t.Fatal("no heartbeat on the link to the new process")
+			}
+			h.advance(maxResponseDelay)
+			h.expectLines(p, "down 1 41")
+			if !reset && !h.closed[before] {
+				t.Fatal("link to the process before stays open")
+			}
+			h.receiveLines(after, down(2, 16, ""))
+			h.expectLines(p, "down 2 16")
+			h.expectIdle()
+		})
+	}
+}
+
+// TestCallsAfterRestartStand guards against calls cut at a process that runs: a new start time that is told late ends no
+// call that was set up on a link which answers a heartbeat.
+func TestCallsAfterRestartStand(t *testing.T) {
+	h := newConnectedHarness(t)
+	p := newStandingCall(h)
+	h.tellRestart()
+	if h.answerHeartbeats(h.switchConns[1]) != 1 {
+		t.Fatal("no heartbeat on the only link")
+	}
+	h.advance(2 * maxResponseDelay)
+	h.expectLines(p)
+	h.receiveLines(h.switchConns[1], down(1, 16, ""))
+	h.expectLines(p, "down 1 16")
+}
+
+// TestCallsEndWhenNoLinkAnswersAfterRestart guards against calls left standing: no link answers after a new start time,
+// so that all of them belong to the process before.
+func TestCallsEndWhenNoLinkAnswersAfterRestart(t *testing.T) {
+	h := newConnectedHarness(t)
+	p := newStandingCall(h)
+	h.tellRestart()
+	h.advance(maxResponseDelay + time.Millisecond)
+	h.expectLines(p, "down 1 41")
+	h.expectIdle()
+}
+
+// TestAdoptedCallsEndAtRestart guards against calls left standing: a call that was adopted has no link of its own, and was
+// named before the link to the new process was established.
+func TestAdoptedCallsEndAtRestart(t *testing.T) {
+	h := newConnectedHarness(t)
+	p := h.accept()
+	h.receiveLines(p, setUp(3, 1, ";at:s-00000001"))
+	h.advance(100 * ms)
+	before, after := h.newSecondLink()
+	h.Closed(h.clock, before)
+	h.advance(100 * ms)
+	h.receiveLines(p, setUp(4, 1, ";at:s-00000001"))
+	h.tellRestart()
+	h.answerHeartbeats(after)
+	h.advance(maxResponseDelay)
+	h.expectLines(p, "down 3 41") // call 4 was named after the link to the present process was established
+}
--- a/internal/platform/standing.go
+++ b/internal/platform/standing.go
@@ -60,11 +60,18 @@
 // cutStandingCalls ends the calls that stand at a switch whose process is dead or removed. Reason completes the log
 // line.
 func (s *switchPeer) cutStandingCalls(reason string) {
-	if s.standingCalls == 0 {
+	if s.standingCalls > 0 {
+		s.cutCalls(s.core.standingCallsAt(s), reason)
+	}
+}
+
+// cutCalls ends some of the calls that stand at a switch.
+func (s *switchPeer) cutCalls(calls []*call, reason string) {
+	if len(calls) == 0 {
 		return
 	}
-	s.core.logLine(fmt.Sprintf("switch at %v %s: releasing its %d standing calls", s.addr, reason, s.standingCalls))
-	for _, k := range s.core.standingCallsAt(s) {
+	s.core.logLine(fmt.Sprintf("switch at %v %s: releasing %d of its %d standing calls", s.addr, reason, len(calls), s.standingCalls))
+	for _, k := range calls {
 		s.core.releaseFromSwitch(k, jsonl.CauseTemporaryFailure, decide.NoReport)
 	}
 }
@@ -92,7 +99,7 @@
 		c.sendReleaseToCaller(p, ref, e.cause)
 		return
 	}
-	k := &call{ref: ref, caller: p, class: o.Class, standing: true, standingAt: to}
+	k := &call{ref: ref, caller: p, class: o.Class, standing: true, standingAt: to, stoodAt: c.now}
 	c.calls[ref] = k
 	to.standingCalls++
 	p.standingCalls++
--- a/internal/platform/switches.go
+++ b/internal/platform/switches.go
@@ -31,6 +31,7 @@
 	lastDialFailed   bool          // the last dial failed
 	lastDialTimedOut bool          // the last dial failed by timeout
 	linkClosedAt     time.Duration // when it last closed or reset a link; 0 after a link is established or a heartbeat answered
+	restartToldAt    time.Duration // when the list had the new start time for which a restart check runs; 0 if none runs
 	heartbeatSentAt  time.Duration // when the pending heartbeat was sent; any line answers it; 0 if none
 	waitingAttempts  []*attempt
 	standingCalls    int
@@ -84,8 +85,11 @@
 	if s.phase != decide.Ready || s.replaced {
 		s.endWaitingAttempts(decide.NotSent) // the switch takes no set-ups any more, so those that wait for a link are not sent
 	}
-	if len(s.links) == 0 && (s.phase == decide.Removed || s.replaced || s.restarted) {
+	switch {
+	case len(s.links) == 0 && (s.phase == decide.Removed || s.replaced || s.restarted):
 		s.cutStandingCalls("was removed, replaced or restarted according to the list") // calls from before the removal or new start are over
+	case s.restarted && s.standingCalls > 0:
+		s.startRestartCheck()
 	}
 	s.restarted = false
 	s.maintainLinks()
