--- a/internal/platform/harness_test.go
+++ b/internal/platform/harness_test.go
@@ -100,6 +100,18 @@
 	h.collectOutputs()
 }
 
+// newSecondLink establishes another link to switch 1 and returns the earlier one and the new one.
+func (h *harness) newSecondLink() (first, second ConnID) {
+	first = h.switchConns[1]
+	h.Core.switches[1].connect()
+	for _, d := range h.takeDials() {
+		if d.To.Port() != 7070 {
+			h.connect(d)
+		}
+	}
+	return first, h.switchConns[1]
+}
+
 // takeDials returns the pending dials and clears them.
 func (h *harness) takeDials() []Dial {
 	h.collectOutputs()
--- a/internal/platform/list_test.go
+++ b/internal/platform/list_test.go
@@ -26,10 +26,12 @@
 // and was closed unread.
 func TestKnownEventsAppliedBeforeDialling(t *testing.T) {
 	var later string
-	for i, change := range []string{`1","lifecycle":"Gone`, `5","lifecycle":"Ready`, `5","lifecycle":"Gone`, `6","lifecycle":"Ready`} {
-		id, phase, _ := strings.Cut(change, `","lifecycle":"`)
-		later += fmt.Sprintf(`,{"index":%d,"endpoints":{"reset":false,"instances":[{"instanceId":"s-0000000%s",
-			"hostPort":"127.0.1.2:5060","zone":"a","cell":1,"lifecycle":"%s","startedAtMs":0}]}}`, i+2, id, phase)
+	for i, change := range []struct {
+		id        int
+		lifecycle string
+	}{{1, "Gone"}, {5, "Ready"}, {5, "Gone"}, {6, "Ready"}} {
+		later += fmt.Sprintf(`,{"index":%d,"endpoints":{"reset":false,"instances":[{"instanceId":"s-%08x",
+			"hostPort":"127.0.1.2:5060","zone":"a","cell":1,"lifecycle":"%s","startedAtMs":0}]}}`, i+2, change.id, change.lifecycle)
 	}
 	text := strings.Replace(config, `"index":1,"updates"`, `"index":5,"updates"`, 1)
 	text = strings.Replace(text, `"startedAtMs":0}]}}]},`, `"startedAtMs":0}]}}`+later+`]},`, 1)
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -489,11 +489,8 @@
 // newDrainingSwitch returns a harness in which call 1 of caller p stands at switch 1, which drains and has two links.
 func newDrainingSwitch(t *testing.T) (h *harness, p ConnID, links [2]ConnID) {
 	h = newConnectedHarness(t)
-	links[0] = h.switchConns[1]
 	p = newStandingCall(h)
-	h.Core.switches[1].connect()
-	h.connect(h.takeDials()[0])
-	links[1] = h.switchConns[1]
+	links[0], links[1] = h.newSecondLink()
 	h.updateList(2, entry(1, 1, 2, decide.Draining))
 	return h, p, links
 }
--- a/internal/platform/restart_test.go
+++ b/internal/platform/restart_test.go
@@ -14,18 +14,6 @@
 	h.updateList(2, restarted)
 }
 
-// newSecondLink establishes another link to switch 1 and returns the earlier one and the new one.
-func (h *harness) newSecondLink() (first, second ConnID) {
-	first = h.switchConns[1]
-	h.Core.switches[1].connect()
-	for _, d := range h.takeDials() {
-		if d.To.Port() != 7070 {
-			h.connect(d)
-		}
-	}
-	return first, h.switchConns[1]
-}
-
 // newCallsAcrossRestart returns a harness in which call 1 of caller p was set up before switch 1 restarted, and call 2 on
 // a link to its new process. The link of call 1 is reset if reset is set, else half-open.
 func newCallsAcrossRestart(t *testing.T, reset bool) (h *harness, p, before, after ConnID) {
