Review, case 9: calls named before and after the list tells the switch's new start

A mixed run showed that calls named before the list tells the start are kept as well: the restart check takes the time of the naming for the time of the set-up. The case now has both kinds, ten calls each.

--- a/review/stand-2/cases.go
+++ b/review/stand-2/cases.go
@@ -265,15 +265,17 @@
 }
 
 // returned plays a proxy that is started again, a switch that is killed and started again under its id after the
-// proxy's start, and callers who name their calls later.
+// proxy's start, and callers who name their calls later: half of them before the list tells the switch's start, half
+// after that.
 func returned(w *world) {
 	const (
 		killAt   = 4 * time.Second
 		startAt  = killAt + 500*time.Millisecond
 		switchAt = startAt + 500*time.Millisecond
 		againAt  = switchAt + 1500*time.Millisecond
-		toldAt   = againAt + 300*time.Millisecond
-		backAt   = startAt + 4*time.Second
+		backAt   = againAt + time.Second
+		toldAt   = againAt + 1500*time.Millisecond
+		laterAt  = againAt + 2500*time.Millisecond
 	)
 	one, two := w.startSwitch(1, "127.0.0.1:0", 60*time.Second), w.startSwitch(2, "127.0.0.1:0", 60*time.Second)
 	coord := w.startCoordinator()
@@ -297,18 +299,25 @@
 	p = w.startProxy(addr, coord.addr, []event{known})
 	c.p = p
 	w.sleepUntil(switchAt)
+	started := int64(0)
 	if w.trouble {
 		one.kill()
 		w.sleepUntil(againAt)
 		w.startSwitch(1, one.addr, 60*time.Second)
-		started := time.Now().UnixMilli()
-		w.sleepUntil(toldAt)
-		coord.tell(event{2, false, []entry{{id: 1, addr: one.addr, cell: 1, started: started}}})
+		started = time.Now().UnixMilli()
 	}
 	w.sleepUntil(backAt)
 	p.waitReady()
 	c.connect()
-	for _, ref := range refs {
+	for _, ref := range refs[:10] {
+		c.announce(ref, 1, 1)
+	}
+	w.sleepUntil(toldAt)
+	if w.trouble {
+		coord.tell(event{2, false, []entry{{id: 1, addr: one.addr, cell: 1, started: started}}})
+	}
+	w.sleepUntil(laterAt)
+	for _, ref := range refs[10:] {
 		c.announce(ref, 1, 1)
 	}
 	w.sleepUntil(switchAt + 12*time.Second)
