--- a/review/stand-2/world.go
+++ b/review/stand-2/world.go
@@ -13,6 +13,7 @@
 	"net"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"sort"
 	"strings"
@@ -52,9 +53,15 @@
 	}
 	w := &world{start: time.Now(), file: file, record: bufio.NewWriter(file), dir: dir, trouble: os.Getenv("TROUBLE") != "0"}
 	w.note("trouble: %v", w.trouble)
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
 	go func() { // no run takes longer than the limit of a case
-		time.Sleep(110 * time.Second)
-		w.note("the case took too long")
+		select {
+		case s := <-stop:
+			w.note("stopped: %v", s)
+		case <-time.After(110 * time.Second):
+			w.note("the case took too long")
+		}
 		w.finish(unready)
 	}()
 	return w
