Platform: calls of a removed or replaced switch end also beside an open link

Cause: while calls stand, a silent switch's address is dialled. The new process accepts, and its link counts as a sign of life of the old one, so the 5 s of silence begin anew; and the list's word that the switch was removed, or its address given to another id, ended calls only if no link was open. Only a later start time was checked link by link.

Change: one check for all three ways in which the list tells the end of a process. A heartbeat on each link tells which are to the process that is there now; the other calls are released and the other links closed, after 1 s at the latest, and at once when each link has answered or closed.

--- a/internal/platform/links.go
+++ b/internal/platform/links.go
@@ -34,7 +34,7 @@
 	closed       bool
 
 	establishedAt     time.Duration
-	answeredHeartbeat bool // a heartbeat was answered since the last restart check began
+	answeredHeartbeat bool // a heartbeat was answered since the last process check began
 
 	lineDueSince time.Duration // since when a line is due; 0 if none is
 	halfOpen     bool          // a line has been overdue for halfOpenTimeout
@@ -194,6 +194,7 @@
 		}
 	case jsonl.TypeHeartbeatOK:
 		l.answeredHeartbeat = true
+		s.endDecidedProcessCheck()
 	case jsonl.TypeGauge:
 		s.hasReported = true
 		c.feed(decide.ReportReceived{Exchange: s.id, Outcome: decide.Completed, Report: c.parseReport(m)})
@@ -226,6 +227,7 @@
 	for _, a := range attempts {
 		s.core.endAttempt(a, decide.Cut)
 	}
+	s.endDecidedProcessCheck()
 	s.maintainLinks()
 	s.core.removeIfIdle(s)
 }
--- /dev/null
+++ b/internal/platform/process.go
@@ -0,0 +1,75 @@
+package platform
+
+import (
+	"slices"
+	"time"
+)
+
+// A process check finds out which standing calls and links of a switch belong to a process that has ended according to
+// the list: the switch has a later start time, was removed, or its address was given to another ID. It runs when links
+// are open then: a link may have been established before the end of the process, and be half-open now, or after it, to
+// the process that is at the address now. A heartbeat on each link tells them apart, as a dead process answers none.
+
+// startProcessCheck sends a heartbeat on each link and ends the check after maxResponseDelay at the latest. A check that
+// runs already starts anew.
+func (s *switchPeer) startProcessCheck() {
+	toldAt := max(1, s.core.now)
+	s.changeToldAt = toldAt
+	for _, l := range s.links {
+		l.answeredHeartbeat = false
+		l.sendHeartbeat()
+	}
+	s.core.after(maxResponseDelay, func() {
+		if s.changeToldAt == toldAt {
+			s.endProcessCheck()
+		}
+	})
+}
+
+// endDecidedProcessCheck ends a process check before its time if all links are known to be to the present process.
+func (s *switchPeer) endDecidedProcessCheck() {
+	if s.changeToldAt == 0 {
+		return
+	}
+	for _, l := range s.links {
+		if !l.isPresent(s.changeToldAt) {
+			return
+		}
+	}
+	s.endProcessCheck()
+}
+
+// endProcessCheck releases the calls that stood at the process of before and closes its links.
+func (s *switchPeer) endProcessCheck() {
+	toldAt := s.changeToldAt
+	s.changeToldAt = 0
+	presentSince := s.presentSince(toldAt)
+	over := slices.DeleteFunc(s.core.standingCallsAt(s), func(k *call) bool {
+		return k.link != nil && k.link.isPresent(toldAt) || k.stoodAt > presentSince
+	})
+	s.cutCalls(over, "was restarted, removed or replaced according to the list")
+	for _, l := range slices.Clone(s.links) {
+		if !l.isPresent(toldAt) {
+			l.closeFaulty()
+		}
+	}
+	s.core.removeIfIdle(s)
+}
+
+// presentSince returns the earliest time at which a link to the present process is known to have been established. If
+// none has answered, that is when the end of the process before was told.
+func (s *switchPeer) presentSince(toldAt time.Duration) time.Duration {
+	since := toldAt
+	for _, l := range s.links {
+		if l.isPresent(toldAt) {
+			since = min(since, l.establishedAt)
+		}
+	}
+	return since
+}
+
+// isPresent reports whether the link belongs to the process that is at the switch's address since a change that was told
+// at toldAt: it has answered a heartbeat since, or was established later.
+func (l *link) isPresent(toldAt time.Duration) bool {
+	return !l.closed && (l.answeredHeartbeat || l.establishedAt >= toldAt)
+}
--- a/internal/platform/restart_test.go
+++ b/internal/platform/process_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"pipitring/decide"
+	"pipitring/internal/coordinator"
 )
 
 // tellRestart sends a list event with a later start time of switch 1.
@@ -97,3 +98,41 @@
 	h.advance(maxResponseDelay)
 	h.expectLines(p, "down 3 41") // call 4 was named after the link to the present process was established
 }
+
+// TestCallsOfReplacedSwitchEndBesideOpenLink guards against calls left standing: a link to the new process at the address
+// of a vanished switch counted as one to the vanished process, so that its removal or replacement ended no call.
+func TestCallsOfReplacedSwitchEndBesideOpenLink(t *testing.T) {
+	removed, newID := entry(1, 1, 2, decide.Removed), entry(5, 1, 2, decide.Ready)
+	for name, entries := range map[string][]coordinator.Entry{
+		"removed": {removed}, "address given to another": {newID}, "removed and address given to another": {removed, newID},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h, p, before, after := newCallsAcrossRestart(t, false)
+			h.takeDials()
+			h.updateList(2, entries...)
+			if h.answerHeartbeats(after) != 1 {
+				t.Fatal("no heartbeat on the link to the new process")
+			}
+			h.advance(maxResponseDelay)
+			h.expectLines(p, "down 1 41")
+			if !h.closed[before] {
+				t.Fatal("link to the vanished process stays open")
+			}
+			h.receiveLines(after, down(2, 16, ""))
+			h.expectLines(p, "down 2 16")
+			h.expectIdle()
+		})
+	}
+}
+
+// TestProcessCheckEndsOnceAllLinksAreDecided checks that calls of the process before are released at once when each link
+// has answered or has closed, and not only after the longest response time.
+func TestProcessCheckEndsOnceAllLinksAreDecided(t *testing.T) {
+	h, p, before, after := newCallsAcrossRestart(t, false)
+	h.tellRestart()
+	h.answerHeartbeats(after)
+	h.expectLines(p)
+	h.Closed(h.clock, before)
+	h.collectOutputs()
+	h.expectLines(p, "down 1 41")
+}
--- a/internal/platform/switches.go
+++ b/internal/platform/switches.go
@@ -20,7 +20,7 @@
 	phase            decide.Phase
 	started          int64
 	replaced         bool    // a switch with another ID has taken over its address
-	restarted        bool    // the list has a later start time, or it was removed and is back; cleared by handleListChange
+	processChanged   bool    // the list says that the process of before has ended; cleared by handleListChange
 	links            []*link // established links
 	dialling         ConnID  // 0 if no dial is in progress
 	retryScheduled   bool    // maintainLinks is due after the retry delay
@@ -31,7 +31,7 @@
 	lastDialFailed   bool          // the last dial failed
 	lastDialTimedOut bool          // the last dial failed by timeout
 	linkClosedAt     time.Duration // when it last closed or reset a link; 0 after a link is established or a heartbeat answered
-	restartToldAt    time.Duration // when the list had the new start time for which a restart check runs; 0 if none runs
+	changeToldAt     time.Duration // when the list had the end of a process for which a process check runs; 0 if none runs
 	heartbeatSentAt  time.Duration // when the pending heartbeat was sent; any line answers it; 0 if none
 	waitingAttempts  []*attempt
 	standingCalls    int
@@ -49,6 +49,7 @@
 		}
 		for _, s := range c.switchesByID() {
 			if !listed[s.id] {
+				s.processChanged = s.processChanged || s.phase != decide.Removed
 				s.phase = decide.Removed
 				changed = append(changed, s)
 			}
@@ -60,10 +61,11 @@
 			if e.Phase == decide.Removed {
 				continue
 			}
-			s = &switchPeer{core: c, id: decide.ExchangeID(e.ID), started: e.Started, lastReceived: c.now}
+			s = &switchPeer{core: c, id: decide.ExchangeID(e.ID), phase: e.Phase, started: e.Started, lastReceived: c.now}
 			c.switches[s.id] = s
 		}
-		s.restarted = s.restarted || e.Started > s.started || s.phase == decide.Removed && e.Phase != decide.Removed
+		removedOrBack := (s.phase == decide.Removed) != (e.Phase == decide.Removed)
+		s.processChanged = s.processChanged || e.Started > s.started || removedOrBack
 		s.number, s.phase, s.started = e.ExchangeNumber, e.Phase, e.Started
 		changed = append(changed, s)
 		if e.Addr == s.addr {
@@ -72,7 +74,7 @@
 		s.addr, s.replaced = e.Addr, false
 		for _, other := range c.switchesByID() {
 			if other != s && other.addr == e.Addr {
-				other.replaced = true
+				other.replaced, other.processChanged = true, true
 				changed = append(changed, other)
 			}
 		}
@@ -86,12 +88,12 @@
 		s.endWaitingAttempts(decide.NotSent) // the switch takes no set-ups any more, so those that wait for a link are not sent
 	}
 	switch {
-	case len(s.links) == 0 && (s.phase == decide.Removed || s.replaced || s.restarted):
+	case len(s.links) == 0 && (s.phase == decide.Removed || s.replaced || s.processChanged):
 		s.cutStandingCalls("was removed, replaced or restarted according to the list") // calls from before the removal or new start are over
-	case s.restarted && s.standingCalls > 0:
-		s.startRestartCheck()
+	case s.processChanged && s.standingCalls > 0:
+		s.startProcessCheck()
 	}
-	s.restarted = false
+	s.processChanged = false
 	s.maintainLinks()
 	s.core.removeIfIdle(s)
 }
