Platform: a named call ends with its switch's process, whenever it is named

Cause: a named call counted as set up when it was named. One named after the link to the switch's new process came up so passed for a call of that process when the list told the new start; and one named after the list had told it was compared with nothing.

Change: a named call was set up before this proxy started, so the end of a process that the list tells this proxy (a later start, a removal, another id at the address) ends it: at once if it is named already, at its naming if the list told within 10 minutes, the time for which a named call is kept. Removed ids are remembered as long. What the list at the start says is older than the proxy, and ends nothing.

TestAdoptedCallsEndAtRestart asked that the call named second be kept, which is the fault; it now asks that both be released, and at once.

--- a/internal/platform/calls.go
+++ b/internal/platform/calls.go
@@ -29,6 +29,9 @@
 	link       *link         // the link of its set-up; nil before, and if it was adopted
 }
 
+// isAdopted reports whether the call was set up before this process started and was named by "at".
+func (k *call) isAdopted() bool { return k.id == 0 }
+
 // attempt is one set-up of a call to a switch, from the decision module's SetUp to its answer or end.
 type attempt struct {
 	call      *call
--- a/internal/platform/core.go
+++ b/internal/platform/core.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"time"
@@ -160,9 +161,10 @@
 	classes         map[string]int
 	quotedClasses   [][]byte // class names as JSON strings
 
-	switches      map[decide.ExchangeID]*switchPeer
-	links         map[ConnID]*link
-	earlyReleases map[string]earlyRelease
+	switches         map[decide.ExchangeID]*switchPeer
+	departedSwitches map[decide.ExchangeID]time.Duration // when a removed switch was forgotten, for adoptedCallLifetime
+	links            map[ConnID]*link
+	earlyReleases    map[string]earlyRelease
 
 	discovery     discoveryClient
 	stoppingSince time.Duration // when SIGTERM arrived; 0 if it has not
@@ -182,7 +184,7 @@
 func New(cfg *Config, wall time.Time) *Core {
 	c := &Core{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 0)), wallStart: wall, controller: decide.New(cfg.Setup.Settings, cfg.Seed),
 		calls: map[string]*call{}, callsByID: map[decide.CallID]*call{}, callers: map[ConnID]*caller{}, classes: map[string]int{},
-		switches: map[decide.ExchangeID]*switchPeer{}, links: map[ConnID]*link{}, earlyReleases: map[string]earlyRelease{}}
+		switches: map[decide.ExchangeID]*switchPeer{}, departedSwitches: map[decide.ExchangeID]time.Duration{}, links: map[ConnID]*link{}, earlyReleases: map[string]earlyRelease{}}
 	for i, name := range cfg.Setup.ClassNames {
 		c.classes[name] = i
 		c.quotedClasses = append(c.quotedClasses, jsonl.Quote(name))
@@ -394,6 +396,7 @@
 			delete(c.earlyReleases, ref)
 		}
 	}
+	maps.DeleteFunc(c.departedSwitches, func(_ decide.ExchangeID, at time.Duration) bool { return c.now-at > adoptedCallLifetime })
 	c.discovery.checkIdle()
 	if c.stoppingSince != 0 && !c.exited && c.now-c.stoppingSince > minShutdownTime && len(c.calls) == 0 && !c.hasFreshRelease() {
 		c.exited = true
--- a/internal/platform/process.go
+++ b/internal/platform/process.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"pipitring/decide"
 )
 
 // A process check finds out which standing calls and links of a switch belong to a process that has ended according to
@@ -10,17 +12,24 @@
 // are open then: a link may have been established before the end of the process, and be half-open now, or after it, to
 // the process that is at the address now. A heartbeat on each link tells them apart, as a dead process answers none.
 
+// holdsCallsOfBefore reports whether a call that a caller names by "at" may stand at the switch. It does not if the switch
+// is gone, or if the list has told this proxy, within the time for which an adopted call is kept, that its process ended.
+func (s *switchPeer) holdsCallsOfBefore() bool {
+	endedLately := s.processEndToldAt != 0 && s.core.now-s.processEndToldAt < adoptedCallLifetime
+	return s.phase != decide.Removed && !s.replaced && !endedLately
+}
+
 // startProcessCheck sends a heartbeat on each link and ends the check after maxResponseDelay at the latest. A check that
 // runs already starts anew.
 func (s *switchPeer) startProcessCheck() {
 	toldAt := max(1, s.core.now)
-	s.changeToldAt = toldAt
+	s.processCheckAt = toldAt
 	for _, l := range s.links {
 		l.answeredHeartbeat = false
 		l.sendHeartbeat()
 	}
 	s.core.after(maxResponseDelay, func() {
-		if s.changeToldAt == toldAt {
+		if s.processCheckAt == toldAt {
 			s.endProcessCheck()
 		}
 	})
@@ -28,11 +37,11 @@
 
 // endDecidedProcessCheck ends a process check before its time if all links are known to be to the present process.
 func (s *switchPeer) endDecidedProcessCheck() {
-	if s.changeToldAt == 0 {
+	if s.processCheckAt == 0 {
 		return
 	}
 	for _, l := range s.links {
-		if !l.isPresent(s.changeToldAt) {
+		if !l.isPresent(s.processCheckAt) {
 			return
 		}
 	}
@@ -41,8 +50,8 @@
 
 // endProcessCheck releases the calls that stood at the process of before and closes its links.
 func (s *switchPeer) endProcessCheck() {
-	toldAt := s.changeToldAt
-	s.changeToldAt = 0
+	toldAt := s.processCheckAt
+	s.processCheckAt = 0
 	presentSince := s.presentSince(toldAt)
 	over := slices.DeleteFunc(s.core.standingCallsAt(s), func(k *call) bool {
 		return k.link != nil && k.link.isPresent(toldAt) || k.stoodAt > presentSince
--- a/internal/platform/process_test.go
+++ b/internal/platform/process_test.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -82,8 +83,8 @@
 	h.expectIdle()
 }
 
-// TestAdoptedCallsEndAtRestart guards against calls left standing: a call that was adopted has no link of its own, and was
-// named before the link to the new process was established.
+// TestAdoptedCallsEndAtRestart guards against calls left standing: a call that was adopted counted as set up when it was
+// named, so that one named after the link to the new process was established outlived the restart.
 func TestAdoptedCallsEndAtRestart(t *testing.T) {
 	h := newConnectedHarness(t)
 	p := h.accept()
@@ -94,9 +95,73 @@
 	h.advance(100 * ms)
 	h.receiveLines(p, setUp(4, 1, ";at:s-00000001"))
 	h.tellRestart()
+	h.expectLines(p, "down 3 41", "down 4 41")
 	h.answerHeartbeats(after)
-	h.advance(maxResponseDelay)
-	h.expectLines(p, "down 3 41") // call 4 was named after the link to the present process was established
+	h.expectIdle()
+}
+
+// TestCallNamedAfterEndOfItsProcessIsOver guards against calls left standing: a call named by "at" was adopted although the
+// list had told the end of its process, and was never released.
+func TestCallNamedAfterEndOfItsProcessIsOver(t *testing.T) {
+	removed, back, newID := entry(1, 1, 2, decide.Removed), entry(1, 1, 2, decide.Ready), entry(5, 1, 2, decide.Ready)
+	restarted := entry(1, 1, 2, decide.Ready)
+	restarted.Started = 1_700_000_000_000
+	for name, c := range map[string]struct {
+		callStands bool // keeps a removed switch known
+		events     []coordinator.Entry
+	}{
+		"restarted":          {false, []coordinator.Entry{restarted}},
+		"removed":            {true, []coordinator.Entry{removed}},
+		"replaced":           {true, []coordinator.Entry{newID}},
+		"removed and back":   {true, []coordinator.Entry{removed, back}},
+		"forgotten and back": {false, []coordinator.Entry{removed, back}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newConnectedHarness(t)
+			p := h.accept()
+			if c.callStands {
+				p = newStandingCall(h)
+			}
+			for i, e := range c.events {
+				h.updateList(uint64(i+2), e)
+			}
+			h.receiveLines(p, setUp(3, 1, ";at:s-00000001"))
+			h.expectLines(p, "down 3 41")
+		})
+	}
+}
+
+// TestDepartedSwitchesAreForgotten guards against growing memory: removed switches are remembered for a limited time.
+func TestDepartedSwitchesAreForgotten(t *testing.T) {
+	h := newConnectedHarness(t)
+	h.updateList(2, entry(1, 1, 2, decide.Removed))
+	h.advance(adoptedCallLifetime + time.Second)
+	if len(h.departedSwitches) != 0 {
+		t.Fatalf("%d departed switches remembered", len(h.departedSwitches))
+	}
+}
+
+// TestCallNamedLongAfterRestartStands guards against calls cut at a process that runs: after the time for which an adopted
+// call is kept, a restart no longer says anything of calls that callers name.
+func TestCallNamedLongAfterRestartStands(t *testing.T) {
+	h := newConnectedHarness(t)
+	h.tellRestart()
+	h.advance(adoptedCallLifetime)
+	p := h.accept()
+	h.receiveLines(p, setUp(3, 1, ";at:s-00000001"))
+	h.expectLines(p)
+}
+
+// TestCallNamedAfterRestartKnownAtStartStands guards against calls cut at a process that runs: a start time in the list at
+// the proxy's start says nothing of calls that may have been set up after it.
+func TestCallNamedAfterRestartKnownAtStartStands(t *testing.T) {
+	text := strings.Replace(config, `"index":1,"updates"`, `"index":2,"updates"`, 1)
+	text = strings.Replace(text, `"startedAtMs":0}]}}]},`, `"startedAtMs":0}]}},{"index":2,"endpoints":{"reset":false,"instances":[
+		{"instanceId":"s-00000001","hostPort":"127.0.1.2:5060","zone":"a","cell":1,"lifecycle":"Ready","startedAtMs":1699999990000}]}}]},`, 1)
+	h := newHarnessWithConfig(t, text)
+	p := h.accept()
+	h.receiveLines(p, setUp(3, 1, ";at:s-00000001"))
+	h.expectLines(p)
 }
 
 // TestCallsOfReplacedSwitchEndBesideOpenLink guards against calls left standing: a link to the new process at the address
--- a/internal/platform/standing.go
+++ b/internal/platform/standing.go
@@ -76,6 +76,11 @@
 	}
 }
 
+// adoptedCallsAt returns the calls that stand at a switch and were adopted by "at".
+func (c *Core) adoptedCallsAt(s *switchPeer) []*call {
+	return slices.DeleteFunc(c.standingCallsAt(s), func(k *call) bool { return !k.isAdopted() })
+}
+
 func (c *Core) standingCallsAt(s *switchPeer) (list []*call) {
 	for _, k := range c.calls {
 		if k.standing && k.standingAt == s {
@@ -86,12 +91,12 @@
 	return list
 }
 
-// adoptCall takes over a call that stood before this process started. If the call is known to be over, or its switch is
-// not on the list, the caller gets its release at once.
+// adoptCall takes over a call that stood before this process started. If the call is known to be over, or the
+// process of its switch has ended, the caller gets its release at once.
 func (c *Core) adoptCall(p *caller, ref string, o callOffer) {
 	c.Stats.Adopted++
 	to := c.switches[o.standingAt]
-	if e, known := c.earlyReleases[ref]; known || to == nil {
+	if e, known := c.earlyReleases[ref]; known || to == nil || !to.holdsCallsOfBefore() {
 		delete(c.earlyReleases, ref)
 		if !known {
 			e.cause = jsonl.CauseTemporaryFailure
--- a/internal/platform/switches.go
+++ b/internal/platform/switches.go
@@ -31,7 +31,8 @@
 	lastDialFailed   bool          // the last dial failed
 	lastDialTimedOut bool          // the last dial failed by timeout
 	linkClosedAt     time.Duration // when it last closed or reset a link; 0 after a link is established or a heartbeat answered
-	changeToldAt     time.Duration // when the list had the end of a process for which a process check runs; 0 if none runs
+	processEndToldAt time.Duration // when the list last told that a process of it had ended; 0 if not since this proxy's start
+	processCheckAt   time.Duration // when the running process check began; 0 if none runs
 	heartbeatSentAt  time.Duration // when the pending heartbeat was sent; any line answers it; 0 if none
 	waitingAttempts  []*attempt
 	standingCalls    int
@@ -62,6 +63,7 @@
 				continue
 			}
 			s = &switchPeer{core: c, id: decide.ExchangeID(e.ID), phase: e.Phase, started: e.Started, lastReceived: c.now}
+			s.processEndToldAt = c.departedSwitches[s.id]
 			c.switches[s.id] = s
 		}
 		removedOrBack := (s.phase == decide.Removed) != (e.Phase == decide.Removed)
@@ -87,6 +89,10 @@
 	if s.phase != decide.Ready || s.replaced {
 		s.endWaitingAttempts(decide.NotSent) // the switch takes no set-ups any more, so those that wait for a link are not sent
 	}
+	if s.processChanged {
+		s.processEndToldAt = s.core.now // still 0 for the list at the start
+		s.cutCalls(s.core.adoptedCallsAt(s), "was restarted, removed or replaced according to the list, and they were set up before")
+	}
 	switch {
 	case len(s.links) == 0 && (s.phase == decide.Removed || s.replaced || s.processChanged):
 		s.cutStandingCalls("was removed, replaced or restarted according to the list") // calls from before the removal or new start are over
@@ -110,6 +116,7 @@
 		}
 	}
 	delete(c.switches, s.id)
+	c.departedSwitches[s.id] = c.now
 	links := s.links
 	s.links = nil
 	for _, l := range links {
