Platform: links and calls of a replaced switch go to the id that has its address

Cause: a link belonged to the id for which it was dialled, so after the replacement there were links to one process under two ids. A release counts only from the switch where its call stands; the new switch may send it on any of its connections, and on one of the other id it was ignored. A dial under way at the replacement was closed unread, by the same cause.

Change: at a replacement the links, the dial under way and the standing calls go to the new id, and the process check finds out which of them were of the process before. Meanwhile set-ups wait for a link that is known to be to the present process. A removed switch closes its links once its last call has ended.

--- a/internal/platform/batch.go
+++ b/internal/platform/batch.go
@@ -106,17 +106,22 @@
 		c.discovery.connected()
 		return
 	}
-	if l := c.links[id]; l != nil && l.peer.dialling == id {
-		if l.peer.phase == decide.Removed && l.peer.standingCalls == 0 {
-			l.peer.dialling = 0
-			delete(c.links, id)
-			c.close(id, false)
-			return
-		}
-		l.peer.linkUp(l)
+	l := c.links[id]
+	if l == nil { // unknown
+		c.close(id, false)
+		return
+	}
+	if owner := c.switchAt(l.addr); owner != nil && owner != l.peer { // it got the address while the dial was in progress
+		l.peer.dialling = 0
+		l.peer = owner
+	}
+	if l.peer.addr != l.addr || l.peer.phase == decide.Removed && l.peer.standingCalls == 0 { // no longer needed
+		l.peer.dialling = 0
+		delete(c.links, id)
+		c.close(id, false)
 		return
 	}
-	c.close(id, false) // no longer needed, or unknown
+	l.peer.linkUp(l)
 }
 
 // DialFailed reports that a connection was not established.
--- a/internal/platform/calls.go
+++ b/internal/platform/calls.go
@@ -245,8 +245,8 @@
 	c.timerQueue.Stop(&a.timer)
 	delete(a.link.openAttempts, k.ref)
 	c.concludeSetUp(k)
-	k.standing, k.standingAt, k.stoodAt, k.link, k.desc, k.openAttempt = true, a.peer, c.now, a.link, nil, nil
-	a.peer.standingCalls++
+	k.standing, k.standingAt, k.stoodAt, k.link, k.desc, k.openAttempt = true, a.link.peer, c.now, a.link, nil, nil
+	k.standingAt.standingCalls++
 	k.caller.standingCalls++
 	k.caller.answeredSetUps++
 	c.write(k.caller.id, func(b []byte) []byte { return jsonl.AppendUp(b, k.ref, desc) })
--- a/internal/platform/core.go
+++ b/internal/platform/core.go
@@ -307,12 +307,20 @@
 		c.feed(c.listUpdate(kind, ev))
 	}
 	handled := map[*switchPeer]bool{}
-	for _, s := range changed { // after the module has handled the updates
+	handle := func(s *switchPeer) { // after the module has handled the updates
 		if !handled[s] {
 			handled[s] = true
 			s.handleListChange()
 		}
 	}
+	for _, s := range changed {
+		if s.replaced { // first, so that its successor has its links before it dials
+			handle(s)
+		}
+	}
+	for _, s := range changed {
+		handle(s)
+	}
 	c.enforceCallerBudget()
 }
 
--- a/internal/platform/links.go
+++ b/internal/platform/links.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -28,7 +29,8 @@
 // link is one connection to a switch.
 type link struct {
 	id           ConnID
-	peer         *switchPeer
+	peer         *switchPeer // the switch that has the address; handOver changes it
+	addr         netip.AddrPort
 	lines        jsonl.LineSplitter
 	openAttempts map[string]*attempt // open attempts, by reference
 	closed       bool
@@ -50,20 +52,35 @@
 }
 
 // pickLink returns the link for the next set-up, or nil if there is none: the one with the fewest open set-ups, a
-// half-open one last. If it has setUpsPerLink or more, another link is opened, because the loss of a link cuts all
-// set-ups on it.
+// half-open one or one to an unknown process last. While another link is dialled, none of unknown process is returned.
+// If the link has setUpsPerLink or more, another is opened, because the loss of a link cuts all set-ups on it.
 func (s *switchPeer) pickLink() (best *link) {
 	for _, l := range s.links {
-		if best == nil || best.halfOpen && !l.halfOpen || best.halfOpen == l.halfOpen && len(l.openAttempts) < len(best.openAttempts) {
+		if best == nil || cmp.Or(l.compareDoubt(best), cmp.Compare(len(l.openAttempts), len(best.openAttempts))) < 0 {
 			best = l
 		}
 	}
+	if best != nil && best.isUndecided() && s.dialling != 0 {
+		return nil
+	}
 	if best != nil && len(best.openAttempts) >= setUpsPerLink && len(s.links) < maxSetUpLinks {
 		s.connect()
 	}
 	return best
 }
 
+// compareDoubt is negative if a set-up on l is more likely to be received than one on other.
+func (l *link) compareDoubt(other *link) int { return cmp.Compare(l.doubt(), other.doubt()) }
+
+// doubt is greater than 0 if a set-up on the link may not be received: it is half-open or may be to a process that has
+// ended.
+func (l *link) doubt() int {
+	if l.halfOpen || l.isUndecided() {
+		return 1
+	}
+	return 0
+}
+
 // connect dials one more link unless a dial is in progress or the switch has maxLinks. If no descriptors are left, only
 // the first link to a switch is dialled.
 func (s *switchPeer) connect() {
@@ -76,7 +93,7 @@
 	}
 	s.dialledAt = s.core.now
 	s.dialling = s.core.dial(s.addr, timeout)
-	l := &link{id: s.dialling, peer: s, openAttempts: map[string]*attempt{}}
+	l := &link{id: s.dialling, peer: s, addr: s.addr, openAttempts: map[string]*attempt{}}
 	l.checkTimer.Value = l.checkOverdue
 	s.core.links[l.id] = l
 }
@@ -92,7 +109,10 @@
 
 // linkUp registers an established link.
 func (s *switchPeer) linkUp(l *link) {
-	s.dialling, s.retryDelay, s.lastDialFailed, s.lastDialTimedOut, s.linkClosedAt = 0, 0, false, false, 0
+	if s.dialling == l.id {
+		s.dialling = 0
+	}
+	s.retryDelay, s.lastDialFailed, s.lastDialTimedOut, s.linkClosedAt = 0, false, false, 0
 	if s.dialledAt >= s.recoveryLinkAt {
 		s.recoveryLinkAt = 0
 	}
@@ -103,12 +123,17 @@
 		s.core.write(l.id, func(b []byte) []byte { return append(b, s.unsentReleases...) })
 		s.unsentReleases = nil
 	}
-	waiting := s.waitingAttempts
-	s.waitingAttempts = nil
+	l.sendWaiting()
+	s.maintainLinks()
+}
+
+// sendWaiting sends the set-ups that wait for a link to the switch.
+func (l *link) sendWaiting() {
+	waiting := l.peer.waitingAttempts
+	l.peer.waitingAttempts = nil
 	for _, a := range waiting {
-		s.core.sendSetUp(a, l)
+		l.peer.core.sendSetUp(a, l)
 	}
-	s.maintainLinks()
 }
 
 // handleDialFailure handles a failed dial. If the dial was refused and no other link is established, the process is
@@ -194,6 +219,7 @@
 		}
 	case jsonl.TypeHeartbeatOK:
 		l.answeredHeartbeat = true
+		l.sendWaiting()
 		s.endDecidedProcessCheck()
 	case jsonl.TypeGauge:
 		s.hasReported = true
--- a/internal/platform/liveness.go
+++ b/internal/platform/liveness.go
@@ -34,6 +34,7 @@
 func (s *switchPeer) checkLiveness() {
 	s.maintainLinks()
 	if s.standingCalls == 0 {
+		s.core.removeIfIdle(s)
 		return
 	}
 	now := s.core.now
--- a/internal/platform/process.go
+++ b/internal/platform/process.go
@@ -40,12 +40,9 @@
 	if s.processCheckAt == 0 {
 		return
 	}
-	for _, l := range s.links {
-		if !l.isPresent(s.processCheckAt) {
-			return
-		}
+	if !slices.ContainsFunc(s.links, (*link).isUndecided) {
+		s.endProcessCheck()
 	}
-	s.endProcessCheck()
 }
 
 // endProcessCheck releases the calls that stood at the process of before and closes its links.
@@ -65,6 +62,37 @@
 	s.core.removeIfIdle(s)
 }
 
+// handOver gives the links and standing calls of a replaced switch to the switch that has its address now. A link that was
+// established before the list told of the replacement may be to the process of either, and so may the calls on it: a
+// process check decides. Another link is opened meanwhile, as set-ups wait for one to a known process.
+func (s *switchPeer) handOver(owner *switchPeer) {
+	if s.dialling != 0 && owner.dialling == 0 {
+		s.core.links[s.dialling].peer = owner
+		owner.dialling, owner.dialledAt, s.dialling = s.dialling, s.dialledAt, 0
+	}
+	owner.unsentReleases = append(owner.unsentReleases, s.unsentReleases...)
+	s.unsentReleases = nil
+	for _, k := range s.core.standingCallsAt(s) {
+		k.standingAt = owner
+	}
+	owner.standingCalls += s.standingCalls
+	s.standingCalls = 0
+	if len(s.links) == 0 && owner.standingCalls == 0 {
+		return
+	}
+	for _, l := range s.links {
+		l.peer = owner
+	}
+	owner.links = append(owner.links, s.links...)
+	s.links = nil
+	owner.recoveryLinkAt = max(owner.recoveryLinkAt, s.recoveryLinkAt)
+	owner.startProcessCheck()
+	if owner.needsLink() {
+		owner.connect()
+	}
+	owner.endDecidedProcessCheck()
+}
+
 // presentSince returns the earliest time at which a link to the present process is known to have been established. If
 // none has answered, that is when the end of the process before was told.
 func (s *switchPeer) presentSince(toldAt time.Duration) time.Duration {
@@ -77,6 +105,12 @@
 	return since
 }
 
+// isUndecided reports whether a process check has yet to find out which process the link is to.
+func (l *link) isUndecided() bool {
+	s := l.peer
+	return s.processCheckAt != 0 && !l.isPresent(s.processCheckAt)
+}
+
 // isPresent reports whether the link belongs to the process that is at the switch's address since a change that was told
 // at toldAt: it has answered a heartbeat since, or was established later.
 func (l *link) isPresent(toldAt time.Duration) bool {
--- a/internal/platform/process_test.go
+++ b/internal/platform/process_test.go
@@ -7,6 +7,7 @@
 
 	"pipitring/decide"
 	"pipitring/internal/coordinator"
+	"pipitring/internal/jsonl"
 )
 
 // tellRestart sends a list event with a later start time of switch 1.
@@ -201,3 +202,105 @@
 	h.collectOutputs()
 	h.expectLines(p, "down 1 41")
 }
+
+// replaceSwitch sends a list event by which switch 5 has the address of switch 1, which is removed.
+func (h *harness) replaceSwitch() {
+	h.updateList(2, entry(1, 1, 2, decide.Removed), entry(5, 1, 2, decide.Ready))
+}
+
+// connectSwitches establishes the pending links to switches and returns the newest.
+func (h *harness) connectSwitches() (newest ConnID) {
+	h.t.Helper()
+	for _, d := range h.takeDials() {
+		if d.To.Port() != 7070 {
+			h.connect(d)
+			newest = d.Conn
+		}
+	}
+	if newest == 0 {
+		h.t.Fatalf("no dial to a switch")
+	}
+	return newest
+}
+
+// TestReleaseOfCallSetUpUnderFormerID guards against calls left standing: a call was set up at a new process under the ID
+// of the switch that had its address before, and its release was ignored on a link of the new ID.
+func TestReleaseOfCallSetUpUnderFormerID(t *testing.T) {
+	for name, answeredLate := range map[string]bool{"answered before the replacement is told": false, "answered after": true} {
+		t.Run(name, func(t *testing.T) {
+			h, p, _, after := newCallsAcrossRestart(t, true)
+			if answeredLate {
+				h.receiveLines(p, setUp(3, 1, ""))
+			}
+			h.takeDials()
+			h.replaceSwitch()
+			h.answerHeartbeats(after)
+			h.expectLines(p, "down 1 41")
+			if answeredLate {
+				h.receiveLines(after, up(3))
+				h.expectLines(p, "up 3")
+			}
+			newest := h.connectSwitches()
+			h.Closed(h.clock, after)
+			h.advance(2 * maxResponseDelay)
+			h.receiveLines(newest, down(2, 16, ""))
+			h.expectLines(p, "down 2 16")
+			if answeredLate {
+				h.receiveLines(newest, down(3, 16, ""))
+				h.expectLines(p, "down 3 16")
+			}
+			h.expectIdle()
+			if len(h.Core.switches) != 3 {
+				t.Fatalf("%d switches known", len(h.Core.switches))
+			}
+		})
+	}
+}
+
+// TestDialUnderWayBelongsToNewSwitch guards against releases that are lost: a dial under way to the address of a switch
+// that is replaced meanwhile was closed unread, although the new switch may send its releases on that link alone.
+func TestDialUnderWayBelongsToNewSwitch(t *testing.T) {
+	h := newConnectedHarness(t)
+	h.Closed(h.clock, h.switchConns[1])
+	dials := h.takeDials()
+	h.replaceSwitch()
+	p := h.accept()
+	h.receiveLines(p, setUp(3, 1, ";at:s-00000005"))
+	h.connect(dials[0])
+	h.receiveLines(dials[0].Conn, down(3, 16, ""))
+	h.expectLines(p, "down 3 16")
+	if h.closed[dials[0].Conn] {
+		t.Fatal("link to the new switch closed")
+	}
+	if d := h.takeDials(); len(d) != 0 {
+		t.Fatalf("%d more dials", len(d))
+	}
+}
+
+// TestSetUpWaitsForLinkToPresentProcess checks that no set-up is sent on a link that may be to a process that has ended
+// while another link is opened, and that one is sent on it as soon as the present process has answered there.
+func TestSetUpWaitsForLinkToPresentProcess(t *testing.T) {
+	for name, answers := range map[string]bool{"link to the process before": false, "link to the present process": true} {
+		t.Run(name, func(t *testing.T) {
+			h := newConnectedHarness(t)
+			p, handedOver := newStandingCall(h), h.switchConns[1]
+			h.takeLines(handedOver)
+			h.takeDials()
+			h.replaceSwitch()
+			h.receiveLines(h.switchConns[2], `{"t":"gauge","f":{"load":"idle:10;circuits:10"}}`)
+			h.receiveLines(p, setUp(2, 1, ""))
+			if answers {
+				h.answerHeartbeats(handedOver)
+				h.expectLines(handedOver, "new 2")
+				return
+			}
+			newest := h.connectSwitches()
+			h.expectLines(newest, "new 2")
+			h.advance(maxResponseDelay)
+			h.expectLines(p, "down 1 41")
+			if m := h.takeLines(handedOver); len(m) != 1 || m[0].Type != jsonl.TypeHeartbeat {
+				t.Fatalf("link to the process before got %+v, want one heartbeat", m)
+			}
+		})
+	}
+}
--- a/internal/platform/switches.go
+++ b/internal/platform/switches.go
@@ -93,6 +93,9 @@
 		s.processEndToldAt = s.core.now // still 0 for the list at the start
 		s.cutCalls(s.core.adoptedCallsAt(s), "was restarted, removed or replaced according to the list, and they were set up before")
 	}
+	if owner := s.core.switchAt(s.addr); s.replaced && owner != nil {
+		s.handOver(owner)
+	}
 	switch {
 	case len(s.links) == 0 && (s.phase == decide.Removed || s.replaced || s.processChanged):
 		s.cutStandingCalls("was removed, replaced or restarted according to the list") // calls from before the removal or new start are over
@@ -104,6 +107,16 @@
 	s.core.removeIfIdle(s)
 }
 
+// switchAt returns the switch that has an address according to the list; nil if there is none.
+func (c *Core) switchAt(addr netip.AddrPort) *switchPeer {
+	for _, s := range c.switchesByID() {
+		if s.addr == addr && s.phase != decide.Removed && !s.replaced {
+			return s
+		}
+	}
+	return nil
+}
+
 // removeIfIdle deletes a switch that was removed from the list and closes its links once it has no open attempt or
 // standing call.
 func (c *Core) removeIfIdle(s *switchPeer) {
