jsonl: a line costs memory by its length, not by the number of its fields

Cause: each line was decoded into a map of all its names and values, and the fields into another; the lines of a batch are held until all are decoded.

Change: a scanner checks the line in place. All fields are checked as before, those that the protocol defines are kept.

--- a/cmd/pipitring/platform_test.go
+++ b/cmd/pipitring/platform_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -19,16 +20,20 @@
 	"pipitring/internal/standin"
 )
 
-// The test binary runs as the program if the environment variable runAsProgram is set. descriptors is then its limit
-// of file descriptors.
+// The test binary runs as the program if the environment variable runAsProgram is set, to its limit of file descriptors.
+// Most tests use descriptors.
 const (
 	runAsProgram = "PIPITRING_TEST_AS_PROGRAM"
 	descriptors  = 128
 )
 
 func TestMain(m *testing.M) {
-	if os.Getenv(runAsProgram) != "" {
-		limit := syscall.Rlimit{Cur: descriptors, Max: descriptors}
+	if text := os.Getenv(runAsProgram); text != "" {
+		n, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			panic(err)
+		}
+		limit := syscall.Rlimit{Cur: n, Max: n}
 		if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
 			panic(err)
 		}
@@ -46,12 +51,20 @@
 	file           string
 	coord          *standin.PlatformCoordinator
 	sw             *standin.PlatformSwitch
+	limits         processLimits
+	answersAtOnce  bool // the switch answers each set-up at once
 	mu             sync.Mutex
 	log            bytes.Buffer
 	pendingAnswers map[string]func() // by the call's reference
 	exited         chan error
 }
 
+// processLimits are the limits in a proxy's configuration.
+type processLimits struct {
+	descriptors int
+	memoryMB    int // 0 is that of standin.PlatformConfig
+}
+
 const testTimeout = 20 * time.Second // reached only by a failing test
 
 // Write appends to the log. It receives the standard error of the proxy.
@@ -84,7 +97,12 @@
 }
 
 func startProcess(t *testing.T) *proxyProcess {
-	p := &proxyProcess{t: t, file: filepath.Join(t.TempDir(), "config.json"), pendingAnswers: map[string]func(){}, exited: make(chan error, 1)}
+	return startProcessWith(t, processLimits{descriptors: descriptors})
+}
+
+func startProcessWith(t *testing.T, limits processLimits) *proxyProcess {
+	t.Helper()
+	p := &proxyProcess{t: t, limits: limits, file: filepath.Join(t.TempDir(), "config.json"), pendingAnswers: map[string]func(){}, exited: make(chan error, 1)}
 	p.coord = startCoordinator(t)
 	var err error
 	if p.sw, err = standin.StartPlatformSwitch("127.0.0.1:0", p.setUp); err != nil {
@@ -99,7 +117,7 @@
 	lis.Close()
 	p.configure(p.coord)
 	p.cmd = exec.Command(os.Args[0], "platform")
-	p.cmd.Env = append(os.Environ(), runAsProgram+"=1", "NODE_CONFIG="+p.file)
+	p.cmd.Env = append(os.Environ(), runAsProgram+"="+strconv.Itoa(limits.descriptors), "NODE_CONFIG="+p.file)
 	p.cmd.Stderr = p
 	if err := p.cmd.Start(); err != nil {
 		t.Fatal(err)
@@ -117,7 +135,13 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.pendingAnswers[m.Ref] = func() { _ = peer.Send(string(jsonl.AppendUp(nil, m.Ref, m.Description))) } // a lost connection fails the test at the caller
+	answer := func() { _ = peer.Send(string(jsonl.AppendUp(nil, m.Ref, m.Description))) } // a lost connection fails the test at the caller
+	if p.answersAtOnce {
+		answer()
+		_ = peer.Send(`{"t":"gauge","f":{"load":"x0:100;x1:100"}}` + "\n")
+		return
+	}
+	p.pendingAnswers[m.Ref] = answer
 }
 
 // answer waits for a call's set-up at the switch and answers it.
@@ -134,7 +158,11 @@
 
 func (p *proxyProcess) configure(c *standin.PlatformCoordinator) {
 	p.t.Helper()
-	if err := os.WriteFile(p.file, standin.PlatformConfig(p.addr, c.Addr(), descriptors, p.sw.Addr()), 0o600); err != nil {
+	text := string(standin.PlatformConfig(p.addr, c.Addr(), p.limits.descriptors, p.sw.Addr()))
+	if p.limits.memoryMB > 0 {
+		text = strings.Replace(text, `"memory_mb":64`, fmt.Sprintf(`"memory_mb":%d`, p.limits.memoryMB), 1)
+	}
+	if err := os.WriteFile(p.file, []byte(text), 0o600); err != nil {
 		p.t.Fatal(err)
 	}
 }
@@ -279,7 +307,7 @@
 			t.Fatal(err)
 		}
 		cmd := exec.Command(os.Args[0], "platform")
-		cmd.Env = append(os.Environ(), runAsProgram+"=1", "NODE_CONFIG="+file)
+		cmd.Env = append(os.Environ(), runAsProgram+"="+strconv.Itoa(descriptors), "NODE_CONFIG="+file)
 		out, _ := cmd.CombinedOutput() // the exit status is checked below
 		if cmd.ProcessState.ExitCode() != exitUsage || !strings.Contains(string(out), c[2]) || !strings.Contains(string(out), file) {
 			t.Errorf("%s: status %d, %s", c[1], cmd.ProcessState.ExitCode(), out)
--- a/internal/jsonl/message.go
+++ b/internal/jsonl/message.go
@@ -55,13 +55,17 @@
 	ErrInvalidDescription = errors.New("description is not a string or contains an unpaired surrogate")
 )
 
+// isField has the names of the fields that the protocol defines.
+var isField = map[string]bool{"class": true, "left": true, "retry": true, "key": true, "extras": true, "tenant": true, "wait": true,
+	"note": true, "load": true}
+
 // Message is one decoded line.
 type Message struct {
-	Type        string // one of the Type constants, or unknown
-	Ref         string // reference of the call: 16 hex digits; empty if absent
-	Fields      map[string]string
-	Cause       int    // 0 if absent
-	Description []byte // description as received: a JSON string with its quotes; nil if absent
+	Type        string            // one of the Type constants, or unknown
+	Ref         string            // reference of the call: 16 hex digits; empty if absent
+	Fields      map[string]string // those of isField that are present; numbers as written
+	Cause       int               // 0 if absent
+	Description []byte            // description as received: a JSON string with its quotes; nil if absent
 }
 
 // Parse decodes one line, without its line feed. On errors too, the message has the reference if one could be read.
@@ -70,31 +74,31 @@
 	if len(line) > MaxLine {
 		return m, ErrLineTooLong
 	}
-	var raw map[string]json.RawMessage // a struct would match keys case-insensitively
-	if !utf8.Valid(line) || json.Unmarshal(line, &raw) != nil || raw == nil {
+	raw, ok := splitMembers(line)
+	if !ok {
 		return m, ErrInvalidLine
 	}
-	ref, ok := parseString(raw["ref"])
+	ref, ok := parseString(raw.ref)
 	if ok && isRef(ref) {
 		m.Ref = ref
 	}
-	if m.Type, ok = parseString(raw["t"]); !ok {
+	if m.Type, ok = parseString(raw.messageType); !ok {
 		return m, ErrInvalidType
 	}
-	if m.Ref == "" && !(raw["ref"] == nil && (m.Type == TypeHeartbeat || m.Type == TypeHeartbeatOK || m.Type == TypeGauge)) {
+	if m.Ref == "" && !(raw.ref == nil && (m.Type == TypeHeartbeat || m.Type == TypeHeartbeatOK || m.Type == TypeGauge)) {
 		return m, ErrInvalidRef
 	}
-	if err := m.parseFields(raw["f"]); err != nil {
+	if err := m.parseFields(raw.fields); err != nil {
 		return m, err
 	}
-	if c := raw["c"]; c != nil {
+	if c := raw.cause; c != nil {
 		n, err := strconv.ParseUint(string(bytes.TrimSpace(c)), 10, 8)
 		if err != nil || n > maxCause {
 			return m, ErrInvalidCause
 		}
 		m.Cause = int(n)
 	}
-	if d := raw["d"]; d != nil {
+	if d := raw.description; d != nil {
 		s, ok := parseString(d)
 		if n := strings.Count(s, replacementChar); !ok || n > 0 && n > replacementChars(d) {
 			return m, ErrInvalidDescription // an unpaired surrogate, which not every JSON decoder accepts
@@ -104,6 +108,29 @@
 	return m, nil
 }
 
+// rawMembers are the members of a line that the protocol defines, as written; nil if absent. Of several with one name the
+// last counts.
+type rawMembers struct{ messageType, ref, fields, cause, description []byte }
+
+// splitMembers finds the members of a line. It reports false if the line is not a JSON object in UTF-8.
+func splitMembers(line []byte) (raw rawMembers, ok bool) {
+	ok = utf8.Valid(line) && scanObject(line, func(name, value []byte) {
+		switch string(name) {
+		case "t":
+			raw.messageType = value
+		case "ref":
+			raw.ref = value
+		case "f":
+			raw.fields = value
+		case "c":
+			raw.cause = value
+		case "d":
+			raw.description = value
+		}
+	})
+	return raw, ok
+}
+
 const replacementChar = string(utf8.RuneError)
 
 // replacementChars counts the replacement characters (U+FFFD) that an encoded JSON string contains. If the decoded
@@ -112,27 +139,32 @@
 	return bytes.Count(raw, []byte(replacementChar)) + bytes.Count(bytes.ToLower(raw), []byte(`\ufffd`))
 }
 
-func (m *Message) parseFields(raw json.RawMessage) error {
+// parseFields checks all fields and keeps those that the protocol defines: others would cost memory for nothing.
+func (m *Message) parseFields(raw []byte) error {
 	if raw == nil {
 		return nil
 	}
-	var all map[string]json.RawMessage
-	if json.Unmarshal(raw, &all) != nil || all == nil {
-		return ErrInvalidFields
-	}
-	if len(all) > 0 {
-		m.Fields = make(map[string]string, len(all))
-	}
-	for name, v := range all {
-		s, ok := parseString(v)
-		if !ok {
-			var n json.Number
-			if json.Unmarshal(v, &n) != nil || n == "" {
-				return ErrInvalidFields
-			}
-			s = n.String()
+	valid := true
+	isObject := scanObject(raw, func(name, value []byte) {
+		isNumber := value[0] == '-' || '0' <= value[0] && value[0] <= '9'
+		switch {
+		case value[0] != '"' && !isNumber:
+			valid = false
+			return
+		case !isField[string(name)]:
+			return
+		}
+		text, isString := parseString(value)
+		if !isString {
+			text = string(value)
 		}
-		m.Fields[name] = s
+		if m.Fields == nil {
+			m.Fields = map[string]string{}
+		}
+		m.Fields[string(name)] = text
+	})
+	if !isObject || !valid {
+		return ErrInvalidFields
 	}
 	return nil
 }
