Platform: what many clients send or leave unread is bounded over all of them

With 300 clients at full speed the process passed its memory limit of 48 MB, and a sound caller beside them was answered late or refused.

Cause: up to 64 KiB were read from each client in one pass of the event loop, and up to 256 KiB that a client does not read were kept for it. No limit held for all together.

Change: once callers have sent 256 KiB in a pass, 1 KiB is read from each further one. Whether a caller has left is asked of its socket, as it no longer shows by reading to the end. Lines read after a close are parsed at once; only releases and namings of standing calls are kept. Output that callers leave unread is limited to an eighth of the memory limit for all together; beyond it the caller with the most is closed.

--- a/cmd/pipitring/platform_test.go
+++ b/cmd/pipitring/platform_test.go
@@ -52,7 +52,8 @@
 	coord          *standin.PlatformCoordinator
 	sw             *standin.PlatformSwitch
 	limits         processLimits
-	answersAtOnce  bool // the switch answers each set-up at once
+	answersAtOnce  bool             // the switch answers each set-up at once
+	onSetUp        func(ref string) // if set, called for each set-up that comes to the switch, which does not answer it
 	mu             sync.Mutex
 	log            bytes.Buffer
 	pendingAnswers map[string]func() // by the call's reference
@@ -136,6 +137,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	answer := func() { _ = peer.Send(string(jsonl.AppendUp(nil, m.Ref, m.Description))) } // a lost connection fails the test at the caller
+	if p.onSetUp != nil {
+		p.onSetUp(m.Ref)
+		return
+	}
 	if p.answersAtOnce {
 		answer()
 		_ = peer.Send(`{"t":"gauge","f":{"load":"x0:100;x1:100"}}` + "\n")
--- a/cmd/pipitring/pressure_test.go
+++ b/cmd/pipitring/pressure_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -246,6 +247,12 @@
 // brokenLine returns a line that cannot be read.
 func brokenLine(int, int) []byte { return []byte("{]\n") }
 
+// longDescription returns a set-up to an exchange that the list does not have, with a long description.
+func longDescription(client, n int) []byte {
+	return fmt.Appendf(nil, `{"t":"new","ref":"%016x","f":{"class":"voice","left":"2000","extras":"dest:9;width:1"},"d":"%s"}`+"\n", client<<40+n,
+		bytes.Repeat([]byte("x"), jsonl.MaxLine-1024))
+}
+
 // TestServiceUnderPressure guards against memory beyond the limit, and against late or missing answers to a sound caller,
 // while other clients send what costs the proxy most: many slow, stopped and long messages, or anything at full speed.
 func TestServiceUnderPressure(t *testing.T) {
@@ -260,7 +267,10 @@
 		"one client at full speed that does not read": func(x *pressure) {
 			x.addClients(1, notReading, x.fullSpeed(unsoundRequests))
 		},
-		"one client with broken lines": func(x *pressure) { x.addClients(1, reading, x.fullSpeed(brokenLine)) },
+		"one client with broken lines":   func(x *pressure) { x.addClients(1, reading, x.fullSpeed(brokenLine)) },
+		"many clients at full speed":     func(x *pressure) { x.addClients(300, reading, x.fullSpeed(unsoundRequests)) },
+		"many clients that do not read":  func(x *pressure) { x.addClients(300, notReading, x.fullSpeed(unsoundRequests)) },
+		"many clients with long set-ups": func(x *pressure) { x.addClients(300, notReading, x.fullSpeed(longDescription)) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			p := startProcessWith(t, limits)
@@ -278,3 +288,82 @@
 		})
 	}
 }
+
+// Limits of the page of rules: a caller that closed has gone within departureTime, and time limits on sockets are longer
+// by socketSlack.
+const (
+	departureTime = 100 * time.Millisecond
+	socketSlack   = 50 * time.Millisecond
+)
+
+// departedCalls records when set-ups of callers that have left came to the switch.
+type departedCalls struct {
+	mu       sync.Mutex
+	closedAt map[string]time.Time // by reference
+	late     []time.Duration      // after the close
+	sent     int
+}
+
+func (d *departedCalls) setUp(ref string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.sent++
+	if at, closed := d.closedAt[ref]; closed && time.Since(at) > departureTime+socketSlack {
+		d.late = append(d.late, time.Since(at))
+	}
+}
+
+func (d *departedCalls) close(refs []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, ref := range refs {
+		d.closedAt[ref] = time.Now()
+	}
+}
+
+// TestNothingSentOnForDepartedCaller guards against set-ups that are sent on after their caller has left: it sends
+// thousands in one write, and closes or resets its connection at once, while other clients keep the proxy busy.
+func TestNothingSentOnForDepartedCaller(t *testing.T) {
+	const (
+		rounds  = 5
+		setUps  = 4000
+		settled = 500 * time.Millisecond
+	)
+	for name, others := range map[string]int{"alone": 0, "beside one client at full speed": 1, "beside many clients at full speed": 200} {
+		for how, reset := range map[string]bool{"closes": false, "resets": true} {
+			t.Run(how+" "+name, func(t *testing.T) {
+				p := startProcessWith(t, processLimits{descriptors: 1024, memoryMB: 48})
+				d := &departedCalls{closedAt: map[string]time.Time{}}
+				p.onSetUp = d.setUp
+				x := newPressure(p)
+				x.addClients(others, reading, x.fullSpeed(unsoundRequests))
+				for round := range rounds {
+					var refs []string
+					var text strings.Builder
+					for n := range setUps {
+						ref := fmt.Sprintf("%016x", soundFirstRef+round*setUps+n)
+						refs = append(refs, ref)
+						text.WriteString(soundSetUp(ref))
+					}
+					peer := p.dial()
+					_ = peer.Send(text.String()) // the proxy may close the connection
+					d.close(refs)
+					if reset {
+						_ = peer.Reset()
+					} else {
+						_ = peer.Close()
+					}
+					time.Sleep(settled)
+				}
+				close(x.stop)
+				x.done.Wait()
+				d.mu.Lock()
+				defer d.mu.Unlock()
+				t.Logf("%d of %d set-ups sent on", d.sent, rounds*setUps)
+				if len(d.late) > 0 {
+					t.Fatalf("%d set-ups sent on too late, up to %v after the close", len(d.late), slices.Max(d.late))
+				}
+			})
+		}
+	}
+}
--- a/internal/platform/batch.go
+++ b/internal/platform/batch.go
@@ -54,6 +54,15 @@
 	c.Advance(now)
 }
 
+// ReceiveAfterClose takes bytes that a caller sent before it closed its connection. They are handled with the next batch,
+// which has an Input of the connection with EOF set. As the caller's set-ups are void, what they cost is not kept.
+func (c *Core) ReceiveAfterClose(id ConnID, b []byte) {
+	if p := c.callers[id]; p != nil {
+		p.departed = true
+		p.parseInput(b)
+	}
+}
+
 func (c *Core) handleInputs(inputs []Input) {
 	for _, input := range inputs {
 		switch input.Kind {
@@ -66,6 +75,9 @@
 				c.Receive(c.now, input.Conn, input.Bytes)
 			}
 		case InputClosed:
+			if p := c.callers[input.Conn]; p != nil {
+				p.handleLines() // those of ReceiveAfterClose
+			}
 			c.Closed(c.now, input.Conn)
 		}
 	}
--- a/internal/platform/callers.go
+++ b/internal/platform/callers.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"pipitring/internal/jsonl"
@@ -14,6 +15,9 @@
 	firstRequestTimeout = 2 * time.Second        // a connection that has sent no request by then, or an incomplete line, is closed
 	firstRequestGrace   = 300 * time.Millisecond // most callers send a request within this time; only after it a connection without one is evicted first
 	callerIdleTimeout   = 10 * time.Second       // a connection without a call for this long is closed
+
+	// maxLinesAfterClose limits the lines that are kept of a caller that has closed its connection.
+	maxLinesAfterClose = 4096
 )
 
 // caller is the connection of one caller.
@@ -29,6 +33,7 @@
 	standingCalls  int           // standing calls that were set up or adopted on it
 	answeredSetUps int           // set-ups that were answered on it
 	eof            bool          // the caller has closed it, but received lines may still have to be handled
+	departed       bool          // it will get eof with the next batch
 	closed         bool
 
 	received []parsedLine // lines received but not handled yet
@@ -115,12 +120,24 @@
 func (p *caller) parseInput(b []byte) {
 	err := p.lines.Push(b, func(line []byte) bool {
 		m, err := jsonl.Parse(line)
-		p.received = append(p.received, parsedLine{m, err})
+		if !p.departed || p.mattersAfterClose(&m) {
+			p.received = append(p.received, parsedLine{m, err})
+		}
 		return err == nil
 	})
 	p.splitErr = cmp.Or(p.splitErr, err)
 }
 
+// mattersAfterClose reports whether a line has an effect though its caller has closed the connection: it releases a
+// standing call, or names one.
+func (p *caller) mattersAfterClose(m *jsonl.Message) bool {
+	if len(p.received) >= maxLinesAfterClose {
+		return false
+	}
+	k := p.core.calls[m.Ref]
+	return m.Type == jsonl.TypeDown && k != nil && k.standing || m.Type == jsonl.TypeNew && strings.Contains(m.Fields["extras"], "at:")
+}
+
 // handleLines handles the lines that parseInput has collected. A set-up that a later one of them abandons is not
 // started.
 func (p *caller) handleLines() {
--- a/internal/platform/departed_test.go
+++ b/internal/platform/departed_test.go
@@ -54,6 +54,39 @@
 	h.expectIdle()
 }
 
+// TestLinesReadAfterClose checks what of the lines counts that are read once a caller's close is known: the release and
+// the naming of standing calls, whereas its set-ups are void and are not kept.
+func TestLinesReadAfterClose(t *testing.T) {
+	h := newConnectedHarness(t)
+	p, q, sw := h.accept(), newStandingCall(h), h.switchConns[1]
+	h.takeLines(sw)
+	h.Core.ReceiveAfterClose(p, joinLines(setUp(2, 1, ""), down(1, 16, ""), setUp(3, 2, ";at:s-00000002")))
+	for n := range 2 * maxLinesAfterClose {
+		h.Core.ReceiveAfterClose(p, joinLines(setUp(100+n, 1, ""), down(1, 16, "")))
+	}
+	if n := len(h.Core.callers[p].received); n > maxLinesAfterClose {
+		t.Fatalf("%d lines kept", n)
+	}
+	h.processBatch(Input{Conn: p, Kind: InputData, EOF: true}, Input{Conn: p, Kind: InputClosed})
+	h.expectLines(sw, "down 1 16")
+	h.expectLines(p)
+	h.receiveLines(h.switchConns[2], down(3, 16, ""))
+	h.expectLines(q, "down 3 16")
+	h.expectIdle()
+}
+
+// TestLinesReadBeforeCloseInLaterBatch checks that lines that were read between two batches are handled when the close is.
+func TestLinesReadBeforeCloseInLaterBatch(t *testing.T) {
+	h := newConnectedHarness(t)
+	p, _, sw := h.accept(), newStandingCall(h), h.switchConns[1]
+	h.takeLines(sw)
+	h.processBatch(Input{Conn: p, Kind: InputData, EOF: true})
+	h.Core.ReceiveAfterClose(p, joinLines(down(1, 16, "")))
+	h.processBatch(Input{Conn: p, Kind: InputClosed})
+	h.expectLines(sw, "down 1 16")
+	h.expectIdle()
+}
+
 // TestBatchOrderByInputType checks that, in whatever order the inputs of a batch were read, no set-up is sent for a
 // caller that has left or abandoned the call, to a draining switch or on a lost connection, and that an answer that
 // crosses a cancellation is not passed on.
--- a/internal/runtime/platform.go
+++ b/internal/runtime/platform.go
@@ -27,8 +27,11 @@
 	maxLingerBytes     = 256 << 10              // bytes read from a gracefully closed connection, at most
 	maxLingering       = 32                     // gracefully closed connections still open at the same time; further ones are closed at once
 	maxProxyOutbound   = 256 << 10              // bytes buffered for a peer that does not read; with more its connection is closed
-	proxyReadSize      = 16 << 10               // size of the read buffer in bytes; no message is longer
-	maxCallerBytes     = 64 << 10               // bytes read from one caller in one pass of the event loop, at most
+	outboundShare      = 0.125                  // share of the memory limit for all bytes buffered for peers that do not read
+	firstReadSize      = 1 << 10                // bytes read from each readable connection in one pass of the event loop, at least
+	proxyReadSize      = 16 << 10               // size of the buffer of further reads in bytes
+	maxConnBytes       = 64 << 10               // bytes read from one connection in one pass, at most
+	maxPassBytes       = 256 << 10              // bytes read from callers in one pass; once exceeded, firstReadSize from each of the others
 	flushTimeout       = 2 * time.Second        // longest wait for buffered bytes to be written before a connection is closed or the proxy stops
 	flushPollInterval  = 20 * time.Millisecond  // interval of checks whether the buffered bytes are written
 	acceptRetryDelay   = 5 * time.Millisecond   // delay after a failed accept; doubled on each further failure
@@ -65,6 +68,8 @@
 	// Events from the sockets since the last batch. They are handled together, so that it is known that a caller has
 	// left before any of its requests is handled.
 	inputs         []platform.Input
+	callerBytes    int // bytes in inputs
+	outbound       outboundCount
 	unreadConns    map[platform.ConnID]*proxyConn // connections with bytes in inputs
 	readBuffer     []byte
 	batchScheduled bool // processBatch is queued for the loop
@@ -89,6 +94,7 @@
 	closedByLoop bool   // the loop has closed it
 	eof          bool   // the end of a caller's stream was read after its bytes
 	graceful     bool   // the core has closed it gracefully
+	overLimit    bool   // it is being closed because its peer does not read
 	discarded    int    // bytes read since the core closed it
 	input        []byte // not yet passed to the core
 }
@@ -118,6 +124,7 @@
 	p := &Platform{log: log, cfg: cfg, trace: trace, listener: listener, conns: map[platform.ConnID]gnet.Conn{},
 		readBuffer: make([]byte, proxyReadSize), unreadConns: map[platform.ConnID]*proxyConn{}, done: make(chan struct{})}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
+	p.outbound.limit = int(outboundShare * float64(cfg.MemoryLimit))
 	p.wake = newLoopTimer(p.onTimer)
 	p.start = time.Now()
 	p.core = platform.New(cfg, p.start)
@@ -125,7 +132,7 @@
 	// gnet is used as a client, without a listener of its own, because its accept loop ends for good when an accept
 	// fails. Go has already set TCP_NODELAY on the connections; gnet would leak a descriptor if it set the option again
 	// and failed.
-	p.client, err = gnet.NewClient(p, gnet.WithNumEventLoop(1), gnet.WithReadBufferCap(proxyReadSize), gnet.WithTCPNoDelay(gnet.TCPDelay),
+	p.client, err = gnet.NewClient(p, gnet.WithNumEventLoop(1), gnet.WithReadBufferCap(firstReadSize), gnet.WithTCPNoDelay(gnet.TCPDelay),
 		gnet.WithLogger(errorLogger{log.Sugar()}))
 	if err == nil {
 		err = p.client.Start()
@@ -234,23 +241,46 @@
 		}
 		return gnet.None
 	}
+	if e.eof { // the loop reads the rest of the stream in this pass
+		p.traceEvent(e.id, "<", b)
+		p.core.ReceiveAfterClose(e.id, e.input)
+		p.core.ReceiveAfterClose(e.id, b)
+		e.input = e.input[:0]
+		return gnet.None
+	}
 	before := len(e.input)
 	if before == 0 {
 		p.queueInput(e.id, platform.InputData)
 		p.unreadConns[e.id] = e
 	}
 	e.input = append(e.input, b...)
-	if e.caller {
-		e.eof = p.readRemaining(e, c.Fd())
-	}
+	p.readFurther(e, c.Fd())
 	p.traceEvent(e.id, "<", e.input[before:])
 	return gnet.None
 }
 
-// readRemaining reads the bytes that a caller sent after those already read, up to maxCallerBytes, and reports whether
-// the end of its stream was reached. The loop detects the end again and then closes the connection.
+// readFurther reads what a peer sent after the bytes already read. From callers no more is read once they have sent
+// maxPassBytes in this pass, so that the time and the memory that a pass takes hardly grow with their number.
+func (p *Platform) readFurther(e *proxyConn, fd int) {
+	if !e.caller {
+		p.readRemaining(e, fd)
+		return
+	}
+	e.eof = p.callerBytes < maxPassBytes && p.readRemaining(e, fd) || hasClosed(fd)
+	p.callerBytes += len(e.input)
+}
+
+// hasClosed reports whether the peer has closed a connection or its sending side, though bytes may still be unread.
+func hasClosed(fd int) bool {
+	poll := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	n, err := unix.Poll(poll, 0)
+	return err == nil && n > 0
+}
+
+// readRemaining reads the bytes that a peer sent after those already read, up to maxConnBytes, and reports whether the
+// end of its stream was reached. The loop detects the end again and then closes the connection.
 func (p *Platform) readRemaining(e *proxyConn, fd int) (eof bool) {
-	for len(e.input) < maxCallerBytes {
+	for len(e.input) < maxConnBytes {
 		n, err := unix.Read(fd, p.readBuffer)
 		switch {
 		case err == unix.EINTR:
@@ -312,7 +342,7 @@
 // processBatch passes the queued events to the core, applies its outputs and sets the timer.
 func (p *Platform) processBatch() {
 	inputs := p.inputs
-	p.inputs = nil
+	p.inputs, p.callerBytes = nil, 0
 	for i, input := range inputs {
 		if input.Kind == platform.InputData {
 			e := p.unreadConns[input.Conn]
@@ -340,12 +370,12 @@
 	switch o := o.(type) {
 	case platform.Write:
 		c := p.conns[o.Conn]
-		if c == nil {
+		if c == nil || c.Context().(*proxyConn).overLimit {
 			return
 		}
 		p.traceEvent(o.Conn, ">", o.Bytes)
-		if _, err := c.Write(o.Bytes); err == nil && c.OutboundBuffered() > maxProxyOutbound {
-			_ = c.Close() // OnClose follows
+		if _, err := c.Write(o.Bytes); err == nil {
+			p.limitOutbound(c, len(o.Bytes))
 		}
 	case platform.Close:
 		p.close(o)
--- a/internal/runtime/platform_order_test.go
+++ b/internal/runtime/platform_order_test.go
@@ -50,6 +50,15 @@
 		"closes after many other lines": func(h *proxyHarness, send func(string)) {
 			send(setUpLine(1) + strings.Repeat(`{"t":"ack","ref":"00000000000000ff","f":{},"c":0}`+"\n", 3*proxyReadSize/48))
 		},
+		"closes beside others that send as much as is read": func(h *proxyHarness, send func(string)) {
+			ack := `{"t":"ack","ref":"00000000000000ff","f":{},"c":0}` + "\n"
+			for range 2 * maxPassBytes / maxConnBytes {
+				if err := h.dial().Send(strings.Repeat(ack, maxConnBytes/2/len(ack))); err != nil {
+					h.t.Fatal(err)
+				}
+			}
+			send(setUpLine(1) + strings.Repeat(ack, 2*firstReadSize/len(ack)))
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := newProxyHarness(t, 256)
