Platform: calls named with `at` may use an eighth of the memory limit

One client that names ever new calls at a listed switch, at full speed, made the process pass its memory limit of 48 MB within 3 s.

Cause: a call that stood before the proxy's start cannot be told from one that never was. Each was adopted, and kept for 10 minutes.

Change: adopted calls may use an eighth of the memory limit. One more gets its release at once; the log's line of releases counts these.

--- a/cmd/pipitring/pressure_test.go
+++ b/cmd/pipitring/pressure_test.go
@@ -244,6 +244,15 @@
 	return b
 }
 
+// callsNamedAnew returns set-ups that name ever new calls as standing at the switch.
+func callsNamedAnew(client, n int) (b []byte) {
+	const each = 100
+	for i := range each {
+		b = fmt.Appendf(b, `{"t":"new","ref":"%016x","f":{"class":"voice","left":"2000","extras":"at:s-00000001"}}`+"\n", client<<40+n*each+i)
+	}
+	return b
+}
+
 // brokenLine returns a line that cannot be read.
 func brokenLine(int, int) []byte { return []byte("{]\n") }
 
@@ -267,10 +276,11 @@
 		"one client at full speed that does not read": func(x *pressure) {
 			x.addClients(1, notReading, x.fullSpeed(unsoundRequests))
 		},
-		"one client with broken lines":   func(x *pressure) { x.addClients(1, reading, x.fullSpeed(brokenLine)) },
-		"many clients at full speed":     func(x *pressure) { x.addClients(300, reading, x.fullSpeed(unsoundRequests)) },
-		"many clients that do not read":  func(x *pressure) { x.addClients(300, notReading, x.fullSpeed(unsoundRequests)) },
-		"many clients with long set-ups": func(x *pressure) { x.addClients(300, notReading, x.fullSpeed(longDescription)) },
+		"one client with broken lines":     func(x *pressure) { x.addClients(1, reading, x.fullSpeed(brokenLine)) },
+		"one client that names calls anew": func(x *pressure) { x.addClients(1, reading, x.fullSpeed(callsNamedAnew)) },
+		"many clients at full speed":       func(x *pressure) { x.addClients(300, reading, x.fullSpeed(unsoundRequests)) },
+		"many clients that do not read":    func(x *pressure) { x.addClients(300, notReading, x.fullSpeed(unsoundRequests)) },
+		"many clients with long set-ups":   func(x *pressure) { x.addClients(300, notReading, x.fullSpeed(longDescription)) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			p := startProcessWith(t, limits)
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -85,7 +85,20 @@
 	return max(minCallerDescriptors, c.MaxDescriptors-reservedDescriptors-maxLinks*switches)
 }
 
+// maxAdoptedCalls returns how many adopted calls may stand: any caller can name any number of calls that the switches do
+// not know. They may use a share of the memory limit.
+func (c *Config) maxAdoptedCalls() int {
+	if c.MemoryLimit == 0 {
+		return maxAdoptedCallsUnlimited
+	}
+	return int(adoptedCallsShare*float64(c.MemoryLimit)) / adoptedCallBytes
+}
+
 const (
+	adoptedCallsShare        = 0.125   // share of the memory limit for adopted calls
+	adoptedCallBytes         = 512     // memory of one adopted call in bytes, rounded up
+	maxAdoptedCallsUnlimited = 1 << 20 // adopted calls if there is no memory limit
+
 	reservedDescriptors  = 56 // for standard streams, poller, listener, coordinator, connections being handed over or closed gracefully
 	minCallerDescriptors = 16 // least number of descriptors for callers, whatever the number of switches
 	maxLinks             = 4  // largest number of links to one switch; load reports arrive on each of them
--- a/internal/platform/core.go
+++ b/internal/platform/core.go
@@ -94,6 +94,7 @@
 	Attempts                                    uint64
 	AttemptOutcomes                             [decide.NotSent + 1]uint64 // attempts that ended without an answer, by outcome
 	Adopted                                     uint64                     // calls that stood before the start and were adopted
+	AdoptionsDenied                             uint64                     // calls not adopted because too many were
 	CallerErrors, SwitchErrors, EvictedCallers  uint64
 
 	// Releases of standing calls toward callers: written to a connection at once, stored because no caller's connection
@@ -112,9 +113,9 @@
 		"caller connections %d, errors %d, evicted %d; switch connections %d, errors %d",
 		s.Calls, s.Answered, s.Refused, s.Failed, s.Abandoned, c.openSetUps, c.QueuedCalls(), len(c.calls), s.Adopted, s.Attempts,
 		s.AttemptOutcomes, len(c.callers), s.CallerErrors, s.EvictedCallers, len(c.links), s.SwitchErrors))
-	c.logLine(fmt.Sprintf("releases to callers: forwarded at once %d, stored %d, delivered later %d, dropped %d, pending %d, the oldest for %v",
+	c.logLine(fmt.Sprintf("releases to callers: forwarded at once %d, stored %d, delivered later %d, dropped %d, pending %d, the oldest for %v; adoptions denied %d",
 		s.ReleasesForwarded, s.ReleasesStored, s.ReleasesDelivered, s.ReleasesDropped, len(c.pendingReleases),
-		c.oldestReleaseAge().Round(time.Millisecond)))
+		c.oldestReleaseAge().Round(time.Millisecond), s.AdoptionsDenied))
 	text := "believed:"
 	for _, b := range c.Estimates(c.now) {
 		text += " [" + b.String() + "]"
@@ -154,6 +155,7 @@
 	calls      map[string]*call // open and standing calls, by reference (Message.Ref)
 	callsByID  map[decide.CallID]*call
 	openSetUps int // set-ups that await their final answer
+	adopted    int // adopted calls that stand
 	lastCallID decide.CallID
 
 	callers         map[ConnID]*caller
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -630,6 +630,24 @@
 	h.expectIdle()
 }
 
+// TestAdoptedCallsAreBounded guards against memory that grows without end: a caller may name any number of calls that no
+// switch knows, each of which was kept for adoptedCallLifetime.
+func TestAdoptedCallsAreBounded(t *testing.T) {
+	h := newConnectedHarness(t)
+	p, most := h.accept(), h.cfg.maxAdoptedCalls()
+	for n := range most {
+		h.Receive(h.clock, p, []byte(setUp(n+1, 1, ";at:s-00000001")+"\n"))
+	}
+	h.collectOutputs()
+	h.expectLines(p)
+	h.receiveLines(p, setUp(most+1, 1, ";at:s-00000001"))
+	h.expectLines(p, fmt.Sprintf("down %x 41", most+1))
+	h.receiveLines(h.switchConns[1], down(1, 16, "")) // makes room for one
+	h.expectLines(p, "down 1 16")
+	h.receiveLines(p, setUp(most+2, 1, ";at:s-00000001"))
+	h.expectLines(p)
+}
+
 func TestCallsAdoptedAfterRestart(t *testing.T) {
 	h := newConnectedHarness(t)
 	p := h.accept()
--- a/internal/platform/standing.go
+++ b/internal/platform/standing.go
@@ -16,6 +16,9 @@
 // endStandingCall ends a standing call and reports it to the decision module.
 func (c *Core) endStandingCall(k *call, o decide.Outcome, r decide.Report) {
 	k.standingAt.standingCalls--
+	if k.isAdopted() {
+		c.adopted--
+	}
 	k.caller.standingCalls--
 	k.caller.lastUsed = c.now
 	c.removeCall(k)
@@ -92,7 +95,7 @@
 }
 
 // adoptCall takes over a call that stood before this process started. If the call is known to be over, or the
-// process of its switch has ended, the caller gets its release at once.
+// process of its switch has ended, the caller gets its release at once; also if too many calls are adopted.
 func (c *Core) adoptCall(p *caller, ref string, o callOffer) {
 	c.Stats.Adopted++
 	to := c.switches[o.standingAt]
@@ -104,6 +107,12 @@
 		c.sendReleaseToCaller(p, ref, e.cause)
 		return
 	}
+	if c.adopted >= c.cfg.maxAdoptedCalls() {
+		c.Stats.AdoptionsDenied++
+		c.sendReleaseToCaller(p, ref, jsonl.CauseTemporaryFailure)
+		return
+	}
+	c.adopted++
 	k := &call{ref: ref, caller: p, class: o.Class, standing: true, standingAt: to, stoodAt: c.now}
 	c.calls[ref] = k
 	to.standingCalls++
