Platform: a withdrawn call is not sent again under the same reference

Cause: a call was forgotten with its caller, so the reference was taken for that of a new call. What must not be repeated, and the wait after a cancellation, hold for the attempts of one call only.

Evidence: on the code before, TestReferenceOfWithdrawnCallNotSentAgain fails in all three forms: the switch gets "new", "down", "new".

--- a/internal/platform/calls.go
+++ b/internal/platform/calls.go
@@ -20,6 +20,7 @@
 	desc        []byte
 	deadline    time.Duration // latest time for the final answer
 	attempts    int
+	sent        bool     // an attempt was sent to a switch
 	openAttempt *attempt // the attempt that is sent or waits for a link; nil if none
 	timer       timers.Entry[func()]
 
@@ -117,6 +118,9 @@
 	for _, k := range calls {
 		c.concludeSetUp(k)
 		c.removeCall(k)
+		if k.sent {
+			c.withdrawn.add(k.ref, c.now)
+		}
 		c.feed(decide.CallerAbandoned{Call: k.id})
 	}
 }
@@ -192,7 +196,7 @@
 // sendSetUp sends a set-up on a link.
 func (c *Core) sendSetUp(a *attempt, l *link) {
 	k := a.call
-	a.link = l
+	a.link, k.sent = l, true
 	l.openAttempts[k.ref] = a
 	s := jsonl.SetUp{Ref: k.ref, Class: c.quotedClasses[k.class], Key: k.key, TimeLeft: a.deadline - c.now, Description: k.desc}
 	c.write(l.id, s.Append)
--- a/internal/platform/core.go
+++ b/internal/platform/core.go
@@ -156,6 +156,7 @@
 	callsByID  map[decide.CallID]*call
 	openSetUps int // set-ups that await their final answer
 	adopted    int // adopted calls that stand
+	withdrawn  withdrawnRefs
 	lastCallID decide.CallID
 
 	callers         map[ConnID]*caller
@@ -407,6 +408,7 @@
 		}
 	}
 	maps.DeleteFunc(c.departedSwitches, func(_ decide.ExchangeID, at time.Duration) bool { return c.now-at > adoptedCallLifetime })
+	c.withdrawn.expire(c.now)
 	c.discovery.checkIdle()
 	if c.stoppingSince != 0 && !c.exited && c.now-c.stoppingSince > minShutdownTime && len(c.calls) == 0 && !c.hasFreshRelease() {
 		c.exited = true
--- a/internal/platform/departed_test.go
+++ b/internal/platform/departed_test.go
@@ -54,6 +54,54 @@
 	h.expectIdle()
 }
 
+// TestReferenceOfWithdrawnCallNotSentAgain guards against a call that runs twice: its caller leaves after it was sent to a
+// switch, and it comes again under the same reference.
+func TestReferenceOfWithdrawnCallNotSentAgain(t *testing.T) {
+	for name, leave := range map[string]func(h *harness, p, q ConnID){
+		"later": func(h *harness, p, q ConnID) {
+			h.processBatch(Input{Conn: p, Kind: InputClosed})
+			h.advance(time.Second)
+			h.receiveLines(q, setUp(1, 1, ""))
+		},
+		"in the same batch": func(h *harness, p, q ConnID) {
+			h.processBatch(Input{Conn: q, Kind: InputData, Bytes: joinLines(setUp(1, 1, ""))}, Input{Conn: p, Kind: InputClosed})
+		},
+		"abandoned by a line": func(h *harness, p, q ConnID) {
+			h.receiveLines(p, down(1, 16, ""))
+			h.receiveLines(q, setUp(1, 1, ""))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newConnectedHarness(t)
+			p, q, sw := h.accept(), h.accept(), h.switchConns[1]
+			h.receiveLines(p, setUp(1, 1, ""))
+			leave(h, p, q)
+			h.expectLines(sw, "new 1", "down 1 16")
+			h.expectLines(q, "down 1 41")
+			h.expectIdle()
+			h.advance(withdrawnRefLifetime + time.Second)
+			q = h.accept()
+			h.receiveLines(q, setUp(1, 1, ""))
+			h.expectLines(sw, "new 1")
+		})
+	}
+}
+
+// TestWithdrawnRefsAreBounded guards against growing memory: of very many references the oldest are forgotten.
+func TestWithdrawnRefsAreBounded(t *testing.T) {
+	var w withdrawnRefs
+	for n := range 2 * maxWithdrawnRefs {
+		w.add(ref(n), 0)
+	}
+	if len(w.since) != maxWithdrawnRefs || len(w.order) != maxWithdrawnRefs || w.contains(ref(0)) || !w.contains(ref(2*maxWithdrawnRefs-1)) {
+		t.Fatalf("%d references kept, %d in order", len(w.since), len(w.order))
+	}
+	w.expire(withdrawnRefLifetime)
+	if len(w.since)+len(w.order) != 0 {
+		t.Fatalf("%d references after their time", len(w.since))
+	}
+}
+
 // TestLinesReadAfterClose checks what of the lines counts that are read once a caller's close is known: the release and
 // the naming of standing calls, whereas its set-ups are void and are not kept.
 func TestLinesReadAfterClose(t *testing.T) {
