Platform: a process that returns after silence has to show itself on a link of before

A machine vanishes, and another process is at its address within 5 s: callers of the calls that stood there were told only once the list had told, so later than 8 s after the end, or never.

Change: a link that comes up after dials had timed out starts a return check. What comes on the links of before shows that their process is alive. If that is nothing until 7 s after the switch was last heard, the calls of before are released. The last link of before is not closed as half-open meanwhile, and set-ups go to the new links.

Evidence: on the code before, with the second call answered where it was sent then, TestCallsEndIfAnotherProcessReturns and TestCallsEndIfAnotherSwitch- Returns see no release within 10 s, and TestCallsStandIfSameProcessReturns finds the link of before closed. TestAnyOrderOfEventsLeavesOneAnswer holds with 20,000 drawn orders.

--- a/internal/platform/links.go
+++ b/internal/platform/links.go
@@ -52,8 +52,9 @@
 }
 
 // pickLink returns the link for the next set-up, or nil if there is none: the one with the fewest open set-ups, a
-// half-open one or one to an unknown process last. While another link is dialled, none of unknown process is returned.
-// If the link has setUpsPerLink or more, another is opened, because the loss of a link cuts all set-ups on it.
+// half-open one or one that may be to a process that has ended last. While another link is dialled, none that a process
+// check decides on is returned. If the link has setUpsPerLink or more, another is opened, because the loss of a link cuts
+// all set-ups on it.
 func (s *switchPeer) pickLink() (best *link) {
 	for _, l := range s.links {
 		if best == nil || cmp.Or(l.compareDoubt(best), cmp.Compare(len(l.openAttempts), len(best.openAttempts))) < 0 {
@@ -75,7 +76,7 @@
 // doubt is greater than 0 if a set-up on the link may not be received: it is half-open or may be to a process that has
 // ended.
 func (l *link) doubt() int {
-	if l.halfOpen || l.isUndecided() {
+	if l.halfOpen || l.isUndecided() || l.isOfBefore() {
 		return 1
 	}
 	return 0
@@ -112,6 +113,9 @@
 	if s.dialling == l.id {
 		s.dialling = 0
 	}
+	if s.needsReturnCheck() {
+		s.startReturnCheck()
+	}
 	s.retryDelay, s.lastDialFailed, s.lastDialTimedOut, s.linkClosedAt = 0, false, false, 0
 	if s.dialledAt >= s.recoveryLinkAt {
 		s.recoveryLinkAt = 0
--- a/internal/platform/liveness.go
+++ b/internal/platform/liveness.go
@@ -37,6 +37,7 @@
 		s.core.removeIfIdle(s)
 		return
 	}
+	s.endOverdueReturnCheck()
 	now := s.core.now
 	switch idle := now - s.lastReceived; {
 	case idle > hostLossTimeout && s.lastDialTimedOut:
@@ -118,8 +119,11 @@
 // lineReceived records that a complete line arrived on the link. A switch reports a change of the trunk group on all
 // links at once, so after a report a line is due on each other link that has delivered none just now. The first report
 // on a new link is an exception, as it is sent on that link alone. Other links that are half-open are closed after
-// halfOpenGrace.
+// halfOpenGrace, but for the last one that a return check needs.
 func (l *link) lineReceived(isReport bool) {
+	if l.isOfBefore() {
+		l.peer.returnedAt = 0 // it returned with the process of before
+	}
 	if l.peer.heartbeatSentAt != 0 {
 		l.peer.heartbeatSentAt, l.peer.linkClosedAt = 0, 0 // the switch is alive, whichever of its links has ended
 	}
@@ -130,7 +134,7 @@
 		case other == l:
 		case other.halfOpen:
 			l.peer.core.after(halfOpenGrace, func() {
-				if other.halfOpen && !other.closed {
+				if other.halfOpen && !other.closed && !other.isLastOfBefore() {
 					other.closeFaulty()
 				}
 			})
--- a/internal/platform/process.go
+++ b/internal/platform/process.go
@@ -86,6 +86,9 @@
 	owner.links = append(owner.links, s.links...)
 	s.links = nil
 	owner.recoveryLinkAt = max(owner.recoveryLinkAt, s.recoveryLinkAt)
+	if s.returnedAt != 0 && owner.returnedAt == 0 {
+		owner.silentSince, owner.returnedAt = s.silentSince, s.returnedAt
+	}
 	owner.startProcessCheck()
 	if owner.needsLink() {
 		owner.connect()
--- a/internal/platform/switches.go
+++ b/internal/platform/switches.go
@@ -33,6 +33,8 @@
 	linkClosedAt     time.Duration // when it last closed or reset a link; 0 after a link is established or a heartbeat answered
 	processEndToldAt time.Duration // when the list last told that a process of it had ended; 0 if not since this proxy's start
 	processCheckAt   time.Duration // when the running process check began; 0 if none runs
+	silentSince      time.Duration // when it was last heard before the silence of the return check
+	returnedAt       time.Duration // when it was reached again after that silence; 0 if no return check runs
 	heartbeatSentAt  time.Duration // when the pending heartbeat was sent; any line answers it; 0 if none
 	waitingAttempts  []*attempt
 	standingCalls    int
