Platform: a further change in the list no longer puts off the release of calls

Cause: a process check that was running began anew with each change that the list told.

Change: each check ends at its own time. When a link last answered a heartbeat says for each of them whether it is to the present process.

The fault was found by a new property test of standing calls: random orders of calls, releases, resets, restarts, replacements, vanished machines, cuts and late lists in virtual time. The processes keep the truth of each call.

Evidence: TestFurtherChangeDoesNotPutOffRelease fails on the code before.

--- a/internal/platform/links.go
+++ b/internal/platform/links.go
@@ -35,8 +35,8 @@
 	openAttempts map[string]*attempt // open attempts, by reference
 	closed       bool
 
-	establishedAt     time.Duration
-	answeredHeartbeat bool // a heartbeat was answered since the last process check began
+	establishedAt       time.Duration
+	heartbeatAnsweredAt time.Duration // when a heartbeat was last answered; 0 if never
 
 	lineDueSince time.Duration // since when a line is due; 0 if none is
 	halfOpen     bool          // a line has been overdue for halfOpenTimeout
@@ -222,7 +222,7 @@
 			c.earlyReleases[m.Ref] = earlyRelease{c.now, m.Cause}
 		}
 	case jsonl.TypeHeartbeatOK:
-		l.answeredHeartbeat = true
+		l.heartbeatAnsweredAt = c.now
 		l.sendWaiting()
 		s.endDecidedProcessCheck()
 	case jsonl.TypeGauge:
--- a/internal/platform/process.go
+++ b/internal/platform/process.go
@@ -20,17 +20,16 @@
 }
 
 // startProcessCheck sends a heartbeat on each link and ends the check after maxResponseDelay at the latest. A check that
-// runs already starts anew.
+// runs already ends at its own time, so that no further change puts off the release of calls.
 func (s *switchPeer) startProcessCheck() {
 	toldAt := max(1, s.core.now)
 	s.processCheckAt = toldAt
 	for _, l := range s.links {
-		l.answeredHeartbeat = false
 		l.sendHeartbeat()
 	}
 	s.core.after(maxResponseDelay, func() {
-		if s.processCheckAt == toldAt {
-			s.endProcessCheck()
+		if s.processCheckAt == toldAt || toldAt > s.processDecidedAt {
+			s.endProcessCheck(toldAt)
 		}
 	})
 }
@@ -41,14 +40,17 @@
 		return
 	}
 	if !slices.ContainsFunc(s.links, (*link).isUndecided) {
-		s.endProcessCheck()
+		s.endProcessCheck(s.processCheckAt)
 	}
 }
 
-// endProcessCheck releases the calls that stood at the process of before and closes its links.
-func (s *switchPeer) endProcessCheck() {
-	toldAt := s.processCheckAt
-	s.processCheckAt = 0
+// endProcessCheck ends the check that began at toldAt: it releases the calls that stood at the process of before, and
+// closes its links.
+func (s *switchPeer) endProcessCheck(toldAt time.Duration) {
+	s.processDecidedAt = toldAt
+	if s.processCheckAt == toldAt {
+		s.processCheckAt = 0
+	}
 	presentSince := s.presentSince(toldAt)
 	over := slices.DeleteFunc(s.core.standingCallsAt(s), func(k *call) bool {
 		return k.link != nil && k.link.isPresent(toldAt) || k.stoodAt > presentSince
@@ -117,5 +119,5 @@
 // isPresent reports whether the link belongs to the process that is at the switch's address since a change that was told
 // at toldAt: it has answered a heartbeat since, or was established later.
 func (l *link) isPresent(toldAt time.Duration) bool {
-	return !l.closed && (l.answeredHeartbeat || l.establishedAt >= toldAt)
+	return !l.closed && (l.heartbeatAnsweredAt >= toldAt || l.establishedAt >= toldAt)
 }
--- a/internal/platform/process_test.go
+++ b/internal/platform/process_test.go
@@ -203,6 +203,23 @@
 	h.expectLines(p, "down 1 41")
 }
 
+// TestFurtherChangeDoesNotPutOffRelease guards against calls released late: each further change that the list told while
+// a process check ran began the check anew.
+func TestFurtherChangeDoesNotPutOffRelease(t *testing.T) {
+	h := newConnectedHarness(t)
+	p := newStandingCall(h)
+	_, after := h.newSecondLink()
+	h.tellRestart()
+	h.answerHeartbeats(after)
+	h.advance(maxResponseDelay / 2)
+	again := entry(1, 1, 2, decide.Ready)
+	again.Started = 1_700_000_001_000
+	h.updateList(3, again)
+	h.answerHeartbeats(after)
+	h.advance(maxResponseDelay / 2)
+	h.expectLines(p, "down 1 41")
+}
+
 // replaceSwitch sends a list event by which switch 5 has the address of switch 1, which is removed.
 func (h *harness) replaceSwitch() {
 	h.updateList(2, entry(1, 1, 2, decide.Removed), entry(5, 1, 2, decide.Ready))
--- a/internal/platform/switches.go
+++ b/internal/platform/switches.go
@@ -32,7 +32,8 @@
 	lastDialTimedOut bool          // the last dial failed by timeout
 	linkClosedAt     time.Duration // when it last closed or reset a link; 0 after a link is established or a heartbeat answered
 	processEndToldAt time.Duration // when the list last told that a process of it had ended; 0 if not since this proxy's start
-	processCheckAt   time.Duration // when the running process check began; 0 if none runs
+	processCheckAt   time.Duration // when the latest process check that still runs began; 0 if none runs
+	processDecidedAt time.Duration // when the latest process check that has ended began; 0 if none has
 	silentSince      time.Duration // when it was last heard before the silence of the return check
 	returnedAt       time.Duration // when it was reached again after that silence; 0 if no return check runs
 	heartbeatSentAt  time.Duration // when the pending heartbeat was sent; any line answers it; 0 if none
