Platform: a release is kept for as long as its call may still be named

Cause: a release of an unknown call was kept in the first 8 s of the process only, and for 8 s.

Change: such releases are kept for 10 minutes, as long as a named call, 4,096 at most. They are kept by switch: by reference alone, the release of a switch where a call was tried in vain would end it once it is named at another one. One bounded store serves these releases, withdrawn references and departed switches, which had three.

--- a/internal/platform/callers.go
+++ b/internal/platform/callers.go
@@ -214,7 +214,7 @@
 		}
 		return
 	}
-	if !ok || !o.isStanding && c.withdrawn.contains(m.Ref) {
+	if _, withdrawn := c.withdrawn.get(m.Ref); !ok || !o.isStanding && withdrawn {
 		c.Stats.CallerErrors++
 		p.sendDown(m.Ref, jsonl.CauseTemporaryFailure, 0)
 		return
--- a/internal/platform/calls.go
+++ b/internal/platform/calls.go
@@ -119,7 +119,7 @@
 		c.concludeSetUp(k)
 		c.removeCall(k)
 		if k.sent {
-			c.withdrawn.add(k.ref, c.now)
+			c.withdrawn.add(k.ref, struct{}{}, c.now)
 		}
 		c.feed(decide.CallerAbandoned{Call: k.id})
 	}
--- a/internal/platform/core.go
+++ b/internal/platform/core.go
@@ -6,7 +6,6 @@
 
 import (
 	"fmt"
-	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"time"
@@ -82,10 +81,16 @@
 	// keep arriving until then.
 	answerDeadlineMargin = 100 * time.Millisecond
 
-	releaseLifetime     = 8 * time.Second        // an early release is dropped after this time, and a shutdown waits for a pending one no longer
-	adoptedCallLifetime = 10 * time.Minute       // an adopted call is released after this time if the switch has not released it
-	maxEarlyReleases    = 1024                   // releases stored for calls that a caller may still ask to adopt
-	maintenanceInterval = 250 * time.Millisecond // interval of the periodic maintenance
+	releaseLifetime     = 8 * time.Second  // a shutdown waits for a pending release no longer
+	adoptedCallLifetime = 10 * time.Minute // an adopted call is released after this time if the switch has not released it; an early release is kept as long
+	maxEarlyReleases    = 4096             // releases stored for calls that a caller may still ask to adopt
+	maxDepartedSwitches = 4096             // removed switches that are remembered
+
+	// withdrawnRefLifetime is how long a call that was sent to a switch and then withdrawn is not sent again under its
+	// reference: the switch may have run it.
+	withdrawnRefLifetime = time.Minute
+	maxWithdrawnRefs     = 4096                   // references remembered for that
+	maintenanceInterval  = 250 * time.Millisecond // interval of the periodic maintenance
 )
 
 // Stats counts what a proxy has done.
@@ -156,7 +161,9 @@
 	callsByID  map[decide.CallID]*call
 	openSetUps int // set-ups that await their final answer
 	adopted    int // adopted calls that stand
-	withdrawn  withdrawnRefs
+	// withdrawn are the references of calls that were sent to a switch and given up by their callers, or failed because
+	// the caller's connection was closed.
+	withdrawn  *recentEntries[string, struct{}]
 	lastCallID decide.CallID
 
 	callers         map[ConnID]*caller
@@ -165,9 +172,9 @@
 	quotedClasses   [][]byte // class names as JSON strings
 
 	switches         map[decide.ExchangeID]*switchPeer
-	departedSwitches map[decide.ExchangeID]time.Duration // when a removed switch was forgotten, for adoptedCallLifetime
+	departedSwitches *recentEntries[decide.ExchangeID, time.Duration] // when a removed switch was deleted
 	links            map[ConnID]*link
-	earlyReleases    map[string]earlyRelease
+	earlyReleases    *recentEntries[earlyRelease, int] // the cause
 
 	discovery     discoveryClient
 	stoppingSince time.Duration // when SIGTERM arrived; 0 if it has not
@@ -177,17 +184,20 @@
 	exited           bool
 }
 
-// earlyRelease is the release of an unknown call, stored in case a caller asks to adopt the call later.
+// earlyRelease identifies the release of an unknown call, stored in case a caller asks to adopt the call later.
 type earlyRelease struct {
-	receivedAt time.Duration
-	cause      int
+	ref  string
+	from decide.ExchangeID
 }
 
 // New returns a proxy at time 0, which corresponds to the wall-clock time wall.
 func New(cfg *Config, wall time.Time) *Core {
 	c := &Core{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 0)), wallStart: wall, controller: decide.New(cfg.Setup.Settings, cfg.Seed),
 		calls: map[string]*call{}, callsByID: map[decide.CallID]*call{}, callers: map[ConnID]*caller{}, classes: map[string]int{},
-		switches: map[decide.ExchangeID]*switchPeer{}, departedSwitches: map[decide.ExchangeID]time.Duration{}, links: map[ConnID]*link{}, earlyReleases: map[string]earlyRelease{}}
+		switches: map[decide.ExchangeID]*switchPeer{}, links: map[ConnID]*link{},
+		departedSwitches: newRecentEntries[decide.ExchangeID, time.Duration](adoptedCallLifetime, maxDepartedSwitches),
+		earlyReleases:    newRecentEntries[earlyRelease, int](adoptedCallLifetime, maxEarlyReleases),
+		withdrawn:        newRecentEntries[string, struct{}](withdrawnRefLifetime, maxWithdrawnRefs)}
 	for i, name := range cfg.Setup.ClassNames {
 		c.classes[name] = i
 		c.quotedClasses = append(c.quotedClasses, jsonl.Quote(name))
@@ -402,12 +412,8 @@
 	for _, s := range c.switchesByID() {
 		s.checkLiveness()
 	}
-	for ref, e := range c.earlyReleases {
-		if c.now-e.receivedAt > releaseLifetime {
-			delete(c.earlyReleases, ref)
-		}
-	}
-	maps.DeleteFunc(c.departedSwitches, func(_ decide.ExchangeID, at time.Duration) bool { return c.now-at > adoptedCallLifetime })
+	c.departedSwitches.expire(c.now)
+	c.earlyReleases.expire(c.now)
 	c.withdrawn.expire(c.now)
 	c.discovery.checkIdle()
 	if c.stoppingSince != 0 && !c.exited && c.now-c.stoppingSince > minShutdownTime && len(c.calls) == 0 && !c.hasFreshRelease() {
--- a/internal/platform/departed_test.go
+++ b/internal/platform/departed_test.go
@@ -87,21 +87,6 @@
 	}
 }
 
-// TestWithdrawnRefsAreBounded guards against growing memory: of very many references the oldest are forgotten.
-func TestWithdrawnRefsAreBounded(t *testing.T) {
-	var w withdrawnRefs
-	for n := range 2 * maxWithdrawnRefs {
-		w.add(ref(n), 0)
-	}
-	if len(w.since) != maxWithdrawnRefs || len(w.order) != maxWithdrawnRefs || w.contains(ref(0)) || !w.contains(ref(2*maxWithdrawnRefs-1)) {
-		t.Fatalf("%d references kept, %d in order", len(w.since), len(w.order))
-	}
-	w.expire(withdrawnRefLifetime)
-	if len(w.since)+len(w.order) != 0 {
-		t.Fatalf("%d references after their time", len(w.since))
-	}
-}
-
 // TestLinesReadAfterClose checks what of the lines counts that are read once a caller's close is known: the release and
 // the naming of standing calls, whereas its set-ups are void and are not kept.
 func TestLinesReadAfterClose(t *testing.T) {
--- a/internal/platform/links.go
+++ b/internal/platform/links.go
@@ -218,8 +218,8 @@
 		switch {
 		case k != nil && k.standing && k.standingAt == s:
 			c.releaseFromSwitch(k, m.Cause, report)
-		case k == nil && c.now < releaseLifetime && len(c.earlyReleases) < maxEarlyReleases:
-			c.earlyReleases[m.Ref] = earlyRelease{c.now, m.Cause}
+		case k == nil:
+			c.earlyReleases.add(earlyRelease{m.Ref, s.id}, m.Cause, c.now)
 		}
 	case jsonl.TypeHeartbeatOK:
 		l.heartbeatAnsweredAt = c.now
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -630,6 +630,31 @@
 	h.expectIdle()
 }
 
+// TestReleaseLongBeforeAdoption guards against calls left standing: a release of a call that no caller had named yet was
+// kept in the first 8 s of the process only, and for 8 s.
+func TestReleaseLongBeforeAdoption(t *testing.T) {
+	h := newConnectedHarness(t)
+	h.advance(20 * time.Second)
+	h.receiveLines(h.switchConns[1], down(3, 16, ""))
+	h.advance(20 * time.Second)
+	p := h.accept()
+	h.receiveLines(p, setUp(3, 1, ";at:s-00000001"))
+	h.expectLines(p, "down 3 16")
+	h.expectIdle()
+}
+
+// TestEarlyReleaseOfAnotherSwitch guards against calls cut that stand: a switch where the call was tried before releases
+// it, and the call is then named as standing at another one.
+func TestEarlyReleaseOfAnotherSwitch(t *testing.T) {
+	h := newConnectedHarness(t)
+	h.receiveLines(h.switchConns[2], down(3, 16, ""))
+	p := h.accept()
+	h.receiveLines(p, setUp(3, 1, ";at:s-00000001"))
+	h.expectLines(p)
+	h.receiveLines(h.switchConns[1], down(3, 16, ""))
+	h.expectLines(p, "down 3 16")
+}
+
 // TestAdoptedCallsAreBounded guards against memory that grows without end: a caller may name any number of calls that no
 // switch knows, each of which was kept for adoptedCallLifetime.
 func TestAdoptedCallsAreBounded(t *testing.T) {
--- a/internal/platform/process_test.go
+++ b/internal/platform/process_test.go
@@ -137,8 +137,8 @@
 	h := newConnectedHarness(t)
 	h.updateList(2, entry(1, 1, 2, decide.Removed))
 	h.advance(adoptedCallLifetime + time.Second)
-	if len(h.departedSwitches) != 0 {
-		t.Fatalf("%d departed switches remembered", len(h.departedSwitches))
+	if n := len(h.departedSwitches.entries); n != 0 {
+		t.Fatalf("%d departed switches remembered", n)
 	}
 }
 
--- a/internal/platform/standing.go
+++ b/internal/platform/standing.go
@@ -99,12 +99,14 @@
 func (c *Core) adoptCall(p *caller, ref string, o callOffer) {
 	c.Stats.Adopted++
 	to := c.switches[o.standingAt]
-	if e, known := c.earlyReleases[ref]; known || to == nil || !to.holdsCallsOfBefore() {
-		delete(c.earlyReleases, ref)
-		if !known {
-			e.cause = jsonl.CauseTemporaryFailure
-		}
-		c.sendReleaseToCaller(p, ref, e.cause)
+	early := earlyRelease{ref, o.standingAt}
+	if cause, known := c.earlyReleases.get(early); known {
+		c.earlyReleases.remove(early)
+		c.sendReleaseToCaller(p, ref, cause)
+		return
+	}
+	if to == nil || !to.holdsCallsOfBefore() {
+		c.sendReleaseToCaller(p, ref, jsonl.CauseTemporaryFailure)
 		return
 	}
 	if c.adopted >= c.cfg.maxAdoptedCalls() {
--- a/internal/platform/switches.go
+++ b/internal/platform/switches.go
@@ -66,7 +66,7 @@
 				continue
 			}
 			s = &switchPeer{core: c, id: decide.ExchangeID(e.ID), phase: e.Phase, started: e.Started, lastReceived: c.now}
-			s.processEndToldAt = c.departedSwitches[s.id]
+			s.processEndToldAt, _ = c.departedSwitches.get(s.id)
 			c.switches[s.id] = s
 		}
 		removedOrBack := (s.phase == decide.Removed) != (e.Phase == decide.Removed)
@@ -132,7 +132,7 @@
 		}
 	}
 	delete(c.switches, s.id)
-	c.departedSwitches[s.id] = c.now
+	c.departedSwitches.add(s.id, c.now, c.now)
 	links := s.links
 	s.links = nil
 	for _, l := range links {
