Platform: a new connection to the coordinator gets more time if none was answered

Cause: a connection is replaced after 1.8 s without input, and a new one had the same 1.8 s for its first input, however often that had been too short.

Change: the time for the first input doubles, up to 8 s, each time that none came, and is 1.8 s again once one comes within that. Between two inputs it stays 1.8 s.

--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -10,33 +10,38 @@
 
 // Limits of the connection to the coordinator, which sends a frame every second. Soon after a connection has closed or
 // stopped delivering, the platform assumes that the proxy has received later list updates all the same, so a connection
-// without input is replaced at once. Further retries follow after short delays.
+// without input is replaced at once. Further retries follow after short delays. A new connection on which nothing ever
+// came is given twice the time on each further retry: a coordinator that answers late would not be heard otherwise.
 const (
-	coordinatorIdleTimeout = 1800 * time.Millisecond // a connection without input for this long is replaced
-	coordinatorDialTimeout = time.Second             // a connection attempt fails after this
-	coordinatorRetryMin    = 50 * time.Millisecond   // first retry delay; doubled on each further retry
-	coordinatorRetryMax    = 800 * time.Millisecond  // upper limit of the retry delay
+	coordinatorIdleTimeout   = 1800 * time.Millisecond // a connection without input for this long is replaced
+	coordinatorAnswerTimeout = 8 * time.Second         // longest time for the first input on a new connection
+	coordinatorDialTimeout   = time.Second             // a connection attempt fails after this
+	coordinatorRetryMin      = 50 * time.Millisecond   // first retry delay; doubled on each further retry
+	coordinatorRetryMax      = 800 * time.Millisecond  // upper limit of the retry delay
 )
 
 // discoveryClient receives the exchange list from the coordinator.
 type discoveryClient struct {
-	core         *Core
-	addr         netip.AddrPort
-	decoder      coordinator.Decoder
-	conn         ConnID // established or being dialled; 0 if there is none
-	established  bool   // conn is established
-	lastReceived time.Duration
-	retryDelay   time.Duration // next retry delay; 0 since a frame was received
+	core          *Core
+	addr          netip.AddrPort
+	decoder       coordinator.Decoder
+	conn          ConnID // established or being dialled; 0 if there is none
+	established   bool   // conn is established
+	hasAnswered   bool   // there was input on conn
+	lastReceived  time.Duration
+	answerTimeout time.Duration // time for the first input on conn
+	retryDelay    time.Duration // next retry delay; 0 since a frame was received
 }
 
 func (d *discoveryClient) start(c *Core, last uint64) {
 	d.core, d.addr, d.decoder.LastIndex = c, c.cfg.Coordinator, last
+	d.answerTimeout = coordinatorIdleTimeout
 	d.connect()
 }
 
 func (d *discoveryClient) connect() {
 	d.decoder.Reset()
-	d.established, d.lastReceived = false, d.core.now
+	d.established, d.hasAnswered, d.lastReceived = false, false, d.core.now
 	d.conn = d.core.dial(d.addr, coordinatorDialTimeout)
 }
 
@@ -66,8 +71,16 @@
 }
 
 func (d *discoveryClient) checkIdle() {
-	if d.conn != 0 && d.established && d.core.now-d.lastReceived > coordinatorIdleTimeout {
+	if d.conn == 0 || !d.established {
+		return
+	}
+	idle := d.core.now - d.lastReceived
+	switch {
+	case d.hasAnswered && idle > coordinatorIdleTimeout:
 		d.drop("silent")
+	case !d.hasAnswered && idle > d.answerTimeout:
+		d.answerTimeout = min(2*d.answerTimeout, coordinatorAnswerTimeout)
+		d.drop("no answer")
 	}
 }
 
@@ -77,7 +90,10 @@
 }
 
 func (d *discoveryClient) receive(b []byte) {
-	d.lastReceived = d.core.now
+	if !d.hasAnswered && d.core.now-d.lastReceived <= coordinatorIdleTimeout {
+		d.answerTimeout = coordinatorIdleTimeout // it is not slow any more
+	}
+	d.hasAnswered, d.lastReceived = true, d.core.now
 	events, err := d.decoder.Push(b)
 	if len(events) > 0 || err == nil {
 		d.retryDelay = 0
@@ -101,6 +117,6 @@
 	if c.discovery.conn != 0 {
 		c.close(c.discovery.conn, false)
 	}
-	c.discovery.retryDelay = 0
+	c.discovery.retryDelay, c.discovery.answerTimeout = 0, coordinatorIdleTimeout
 	c.discovery.connect()
 }
