Platform: set-ups of a caller of whom much remains unread are refused, not sent on

Cause: the kernel keeps some 128 KB unread of a connection. What was sent beyond that, and the close, wait at the other end, so that asking the socket does not show the close. Under pressure 1 KiB is read of a caller in a pass.

Change: if more than 16 KiB of a caller remain unread after its share of a pass was read, the set-ups of that share are refused with cause 42. A caller whose close is hidden always has more unread.

--- a/internal/platform/batch.go
+++ b/internal/platform/batch.go
@@ -24,6 +24,10 @@
 	Kind  InputKind
 	Bytes []byte
 	EOF   bool // the end of a caller's stream was read after Bytes; InputClosed follows, possibly in a later batch
+
+	// Congested means that the caller has sent more than can be read at present. It may have given up the set-ups in
+	// Bytes, or have left, so they are refused.
+	Congested bool
 }
 
 // ProcessBatch handles the inputs that were read from all connections in one pass of the event loop, and then the
@@ -92,6 +96,7 @@
 			continue
 		}
 		p.parseInput(input.Bytes)
+		p.congested = input.Congested
 		if !p.eof && (input.EOF || input.Kind == InputClosed) {
 			p.eof = true
 			abandoned = append(abandoned, c.openCallsOf(p)...)
--- a/internal/platform/callers.go
+++ b/internal/platform/callers.go
@@ -34,6 +34,7 @@
 	answeredSetUps int           // set-ups that were answered on it
 	eof            bool          // the caller has closed it, but received lines may still have to be handled
 	departed       bool          // it will get eof with the next batch
+	congested      bool          // it has sent more than can be read at present
 	closed         bool
 
 	received []parsedLine // lines received but not handled yet
@@ -231,7 +232,7 @@
 		c.Stats.Abandoned++
 		return
 	}
-	if limit := c.cfg.Setup.MaxOpenCalls; limit > 0 && c.openSetUps >= limit || c.pastAnswerDeadline() {
+	if limit := c.cfg.Setup.MaxOpenCalls; p.congested || limit > 0 && c.openSetUps >= limit || c.pastAnswerDeadline() {
 		c.Stats.Refused++
 		p.sendDown(m.Ref, jsonl.CauseCongestion, c.retryAfter())
 		return
--- a/internal/platform/departed_test.go
+++ b/internal/platform/departed_test.go
@@ -87,6 +87,19 @@
 	}
 }
 
+// TestSetUpsOfCongestedCallerRefused guards against set-ups that are sent on after their caller has left: its close is
+// behind more than can be read at present. Its other requests are handled.
+func TestSetUpsOfCongestedCallerRefused(t *testing.T) {
+	h := newConnectedHarness(t)
+	p, sw := newStandingCall(h), h.switchConns[1]
+	h.takeLines(sw)
+	h.processBatch(Input{Conn: p, Kind: InputData, Bytes: joinLines(setUp(2, 1, ""), down(1, 16, "")), Congested: true})
+	h.expectLines(p, "down 2 42")
+	h.expectLines(sw, "down 1 16")
+	h.processBatch(Input{Conn: p, Kind: InputData, Bytes: joinLines(setUp(3, 1, ""))})
+	h.expectLines(sw, "new 3")
+}
+
 // TestLinesReadAfterClose checks what of the lines counts that are read once a caller's close is known: the release and
 // the naming of standing calls, whereas its set-ups are void and are not kept.
 func TestLinesReadAfterClose(t *testing.T) {
--- a/internal/runtime/platform.go
+++ b/internal/runtime/platform.go
@@ -32,6 +32,7 @@
 	proxyReadSize      = 16 << 10               // size of the buffer of further reads in bytes
 	maxConnBytes       = 64 << 10               // bytes read from one connection in one pass, at most
 	maxPassBytes       = 256 << 10              // bytes read from callers in one pass; once exceeded, firstReadSize from each of the others
+	maxUnreadBytes     = 16 << 10               // bytes of a caller that may remain unread in one pass: behind more, its close may be hidden
 	flushTimeout       = 2 * time.Second        // longest wait for buffered bytes to be written before a connection is closed or the proxy stops
 	flushPollInterval  = 20 * time.Millisecond  // interval of checks whether the buffered bytes are written
 	acceptRetryDelay   = 5 * time.Millisecond   // delay after a failed accept; doubled on each further failure
@@ -93,6 +94,7 @@
 	closedByCore bool   // the core has closed it
 	closedByLoop bool   // the loop has closed it
 	eof          bool   // the end of a caller's stream was read after its bytes
+	congested    bool   // more than maxUnreadBytes of a caller remained unread
 	graceful     bool   // the core has closed it gracefully
 	overLimit    bool   // it is being closed because its peer does not read
 	discarded    int    // bytes read since the core closed it
@@ -267,16 +269,10 @@
 		return
 	}
 	e.eof = p.callerBytes < maxPassBytes && p.readRemaining(e, fd) || hasClosed(fd)
+	e.congested = e.congested || unreadBytes(fd) > maxUnreadBytes
 	p.callerBytes += len(e.input)
 }
 
-// hasClosed reports whether the peer has closed a connection or its sending side, though bytes may still be unread.
-func hasClosed(fd int) bool {
-	poll := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-	n, err := unix.Poll(poll, 0)
-	return err == nil && n > 0
-}
-
 // readRemaining reads the bytes that a peer sent after those already read, up to maxConnBytes, and reports whether the
 // end of its stream was reached. The loop detects the end again and then closes the connection.
 func (p *Platform) readRemaining(e *proxyConn, fd int) (eof bool) {
@@ -346,7 +342,8 @@
 	for i, input := range inputs {
 		if input.Kind == platform.InputData {
 			e := p.unreadConns[input.Conn]
-			inputs[i].Bytes, inputs[i].EOF, e.input = e.input, e.eof, nil
+			inputs[i].Bytes, inputs[i].EOF, inputs[i].Congested = e.input, e.eof, e.congested
+			e.input, e.congested = nil, false
 		}
 	}
 	clear(p.unreadConns)
--- a/internal/runtime/platform_order_test.go
+++ b/internal/runtime/platform_order_test.go
@@ -39,32 +39,57 @@
 	}
 }
 
+// linesOfLength returns lines without effect of a length in bytes.
+func linesOfLength(length int) string {
+	ack := `{"t":"ack","ref":"00000000000000ff","f":{},"c":0}` + "\n"
+	return strings.Repeat(ack, length/len(ack))
+}
+
+// sendAsMuchAsIsRead sends from other callers twice what is read in one pass of the event loop.
+func sendAsMuchAsIsRead(others []*standin.JSONPeer) {
+	for _, peer := range others {
+		_ = peer.Send(linesOfLength(2 * maxPassBytes / len(others))) // a caller that was closed sends nothing
+	}
+}
+
 // TestNoSetUpForDepartedCaller checks that, in whatever order the sockets are read, no set-up is sent for a caller that
 // requested a call and left while the proxy was paused.
 func TestNoSetUpForDepartedCaller(t *testing.T) {
 	abandonment := string(jsonl.AppendDown(nil, callRef(1), jsonl.CauseNormal, 0))
-	for name, leave := range map[string]func(h *proxyHarness, send func(string)){
-		"closes after its set-up":       func(h *proxyHarness, send func(string)) { send(setUpLine(1)) },
-		"abandons after its set-up":     func(h *proxyHarness, send func(string)) { send(setUpLine(1)); send(abandonment) },
-		"closes, set-up in small parts": func(h *proxyHarness, send func(string)) { l := setUpLine(1); send(l[:7]); send(l[7:90]); send(l[90:]) },
-		"closes after many other lines": func(h *proxyHarness, send func(string)) {
-			send(setUpLine(1) + strings.Repeat(`{"t":"ack","ref":"00000000000000ff","f":{},"c":0}`+"\n", 3*proxyReadSize/48))
+	for name, leave := range map[string]func(others []*standin.JSONPeer, send func(string)){
+		"closes after its set-up":   func(_ []*standin.JSONPeer, send func(string)) { send(setUpLine(1)) },
+		"abandons after its set-up": func(_ []*standin.JSONPeer, send func(string)) { send(setUpLine(1)); send(abandonment) },
+		"closes, set-up in small parts": func(_ []*standin.JSONPeer, send func(string)) {
+			l := setUpLine(1)
+			send(l[:7])
+			send(l[7:90])
+			send(l[90:])
 		},
-		"closes beside others that send as much as is read": func(h *proxyHarness, send func(string)) {
-			ack := `{"t":"ack","ref":"00000000000000ff","f":{},"c":0}` + "\n"
-			for range 2 * maxPassBytes / maxConnBytes {
-				if err := h.dial().Send(strings.Repeat(ack, maxConnBytes/2/len(ack))); err != nil {
-					h.t.Fatal(err)
-				}
-			}
-			send(setUpLine(1) + strings.Repeat(ack, 2*firstReadSize/len(ack)))
+		"closes after many other lines": func(_ []*standin.JSONPeer, send func(string)) {
+			send(setUpLine(1) + linesOfLength(3*proxyReadSize))
+		},
+		"closes beside others that send as much as is read": func(others []*standin.JSONPeer, send func(string)) {
+			sendAsMuchAsIsRead(others)
+			send(setUpLine(1) + linesOfLength(2*firstReadSize))
+		},
+		"closes behind more than the kernel keeps": func(_ []*standin.JSONPeer, send func(string)) {
+			send(setUpLine(1) + linesOfLength(1<<20))
+		},
+		"closes behind more than the kernel keeps, beside others": func(others []*standin.JSONPeer, send func(string)) {
+			sendAsMuchAsIsRead(others)
+			send(setUpLine(1) + linesOfLength(1<<20))
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := newProxyHarness(t, 256)
+			var others []*standin.JSONPeer
+			for range 2 * maxPassBytes / maxConnBytes {
+				others = append(others, h.dial())
+			}
 			p := h.dial()
+			await(t, "all callers are accepted", func() bool { return h.callerCount() > len(others) })
 			resume := h.pauseLoop()
-			leave(h, func(text string) {
+			leave(others, func(text string) {
 				if err := p.Send(text); err != nil {
 					t.Fatal(err)
 				}
