Platform: set-ups wait for a link also if the settings have no connect timeout

Without connectTimeoutS in the settings a set-up for a switch without a link was given up in the instant in which it began to wait.

Cause: the default was applied where a link is dialled, not where a set-up waits for one. Change: one function gives the time for both.

Evidence: TestSetUpWaitsForLinkWithoutConnectTimeout fails on the code before.

--- a/internal/platform/calls.go
+++ b/internal/platform/calls.go
@@ -189,7 +189,7 @@
 	}
 	to.waitingAttempts = append(to.waitingAttempts, a)
 	a.timer.Value = func() { c.cancelAttempt(a, decide.Unreachable) } // it was never sent, so no processor has worked on it
-	c.timerQueue.Set(&a.timer, min(a.deadline, c.now+c.cfg.Setup.ConnectTimeout))
+	c.timerQueue.Set(&a.timer, min(a.deadline, c.now+c.cfg.connectTimeout()))
 	to.connect()
 }
 
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -85,6 +85,14 @@
 	return max(minCallerDescriptors, c.MaxDescriptors-reservedDescriptors-maxLinks*switches)
 }
 
+// connectTimeout returns the longest time in which a link is established.
+func (c *Config) connectTimeout() time.Duration {
+	if c.Setup.ConnectTimeout <= 0 {
+		return defaultConnectTimeout
+	}
+	return c.Setup.ConnectTimeout
+}
+
 // maxAdoptedCalls returns how many adopted calls may stand: any caller can name any number of calls that the switches do
 // not know. They may use a share of the memory limit.
 func (c *Config) maxAdoptedCalls() int {
@@ -95,6 +103,8 @@
 }
 
 const (
+	defaultConnectTimeout = 500 * time.Millisecond // connect timeout if the settings have none
+
 	adoptedCallsShare        = 0.125   // share of the memory limit for adopted calls
 	adoptedCallBytes         = 512     // memory of one adopted call in bytes, rounded up
 	maxAdoptedCallsUnlimited = 1 << 20 // adopted calls if there is no memory limit
--- a/internal/platform/links.go
+++ b/internal/platform/links.go
@@ -13,10 +13,9 @@
 
 // Limits of links to switches.
 const (
-	setUpsPerLink         = 8                      // number of open set-ups on each link at which another link is opened
-	linkRetryMin          = 50 * time.Millisecond  // delay before a failed dial is retried; doubled on each further failure
-	linkRetryMax          = 800 * time.Millisecond // upper limit of the retry delay
-	defaultConnectTimeout = 500 * time.Millisecond // connect timeout if the settings have none
+	setUpsPerLink = 8                      // number of open set-ups on each link at which another link is opened
+	linkRetryMin  = 50 * time.Millisecond  // delay before a failed dial is retried; doubled on each further failure
+	linkRetryMax  = 800 * time.Millisecond // upper limit of the retry delay
 
 	// lossDetectionDelay is the time after the loss of a link at which a new one is opened. A switch repeats its
 	// releases on the next link that is opened, but those that it wrote before it detected the loss only on a link
@@ -76,7 +75,7 @@
 // doubt is greater than 0 if a set-up on the link may not be received: it is half-open or may be to a process that has
 // ended.
 func (l *link) doubt() int {
-	if l.halfOpen || l.isUndecided() || l.isOfBefore() {
+	if l.halfOpen || l.isUndecided() || l.predatesSilence() {
 		return 1
 	}
 	return 0
@@ -88,12 +87,8 @@
 	if s.dialling != 0 || len(s.links) >= maxLinks || len(s.links) > 0 && s.core.descriptorsInUse() >= s.core.cfg.MaxDescriptors {
 		return
 	}
-	timeout := s.core.cfg.Setup.ConnectTimeout
-	if timeout <= 0 {
-		timeout = defaultConnectTimeout
-	}
 	s.dialledAt = s.core.now
-	s.dialling = s.core.dial(s.addr, timeout)
+	s.dialling = s.core.dial(s.addr, s.core.cfg.connectTimeout())
 	l := &link{id: s.dialling, peer: s, addr: s.addr, openAttempts: map[string]*attempt{}}
 	l.checkTimer.Value = l.checkOverdue
 	s.core.links[l.id] = l
--- a/internal/platform/list_test.go
+++ b/internal/platform/list_test.go
@@ -61,7 +61,7 @@
 }
 
 // TestCallsEndWhenSwitchIsRemovedAndBack guards against calls left standing at a switch that was removed and listed again
-// in events read together: its process of before, and its calls, are gone.
+// in events read together: its previous process, and its calls, are gone.
 func TestCallsEndWhenSwitchIsRemovedAndBack(t *testing.T) {
 	h := newConnectedHarness(t)
 	p := newStandingCall(h)
--- a/internal/platform/liveness.go
+++ b/internal/platform/liveness.go
@@ -121,8 +121,8 @@
 // on a new link is an exception, as it is sent on that link alone. Other links that are half-open are closed after
 // halfOpenGrace, but for the last one that a return check needs.
 func (l *link) lineReceived(isReport bool) {
-	if l.isOfBefore() {
-		l.peer.returnedAt = 0 // it returned with the process of before
+	if l.predatesSilence() {
+		l.peer.returnedAt = 0 // it returned with the previous process
 	}
 	if l.peer.heartbeatSentAt != 0 {
 		l.peer.heartbeatSentAt, l.peer.linkClosedAt = 0, 0 // the switch is alive, whichever of its links has ended
@@ -134,7 +134,7 @@
 		case other == l:
 		case other.halfOpen:
 			l.peer.core.after(halfOpenGrace, func() {
-				if other.halfOpen && !other.closed && !other.isLastOfBefore() {
+				if other.halfOpen && !other.closed && !other.isLastEarlierLink() {
 					other.closeFaulty()
 				}
 			})
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -615,6 +615,22 @@
 	h.expectIdle()
 }
 
+// TestSetUpWaitsForLinkWithoutConnectTimeout guards against calls that fail at once: without a connect timeout in the
+// settings, a set-up that waited for a link was given up in the same instant.
+func TestSetUpWaitsForLinkWithoutConnectTimeout(t *testing.T) {
+	h := newHarnessWithConfig(t, strings.Replace(config, `"connectTimeoutS":0.5,`, "", 1))
+	for _, d := range h.takeDials() {
+		h.connect(d)
+	}
+	h.Closed(h.clock, h.switchConns[1])
+	dials := h.takeDials()
+	p := h.accept()
+	h.receiveLines(p, setUp(1, 1, ""))
+	h.advance(defaultConnectTimeout / 2)
+	h.connect(dials[0])
+	h.expectLines(dials[0].Conn, "new 1")
+}
+
 func TestUnreachableAfterConnectTimeout(t *testing.T) {
 	h := newConnectedHarness(t)
 	h.Closed(h.clock, h.switchConns[1])
--- a/internal/platform/process.go
+++ b/internal/platform/process.go
@@ -12,9 +12,9 @@
 // are open then: a link may have been established before the end of the process, and be half-open now, or after it, to
 // the process that is at the address now. A heartbeat on each link tells them apart, as a dead process answers none.
 
-// holdsCallsOfBefore reports whether a call that a caller names by "at" may stand at the switch. It does not if the switch
+// mayHoldEarlierCalls reports whether a call that a caller names by "at" may stand at the switch. It does not if the switch
 // is gone, or if the list has told this proxy, within the time for which an adopted call is kept, that its process ended.
-func (s *switchPeer) holdsCallsOfBefore() bool {
+func (s *switchPeer) mayHoldEarlierCalls() bool {
 	endedLately := s.processEndToldAt != 0 && s.core.now-s.processEndToldAt < adoptedCallLifetime
 	return s.phase != decide.Removed && !s.replaced && !endedLately
 }
@@ -44,7 +44,7 @@
 	}
 }
 
-// endProcessCheck ends the check that began at toldAt: it releases the calls that stood at the process of before, and
+// endProcessCheck ends the check that began at toldAt: it releases the calls that stood at the previous process, and
 // closes its links.
 func (s *switchPeer) endProcessCheck(toldAt time.Duration) {
 	s.processDecidedAt = toldAt
@@ -99,7 +99,7 @@
 }
 
 // presentSince returns the earliest time at which a link to the present process is known to have been established. If
-// none has answered, that is when the end of the process before was told.
+// none has answered, that is when the end of the previous process was told.
 func (s *switchPeer) presentSince(toldAt time.Duration) time.Duration {
 	since := toldAt
 	for _, l := range s.links {
--- a/internal/platform/process_test.go
+++ b/internal/platform/process_test.go
@@ -49,7 +49,7 @@
 			h.advance(maxResponseDelay)
 			h.expectLines(p, "down 1 41")
 			if !reset && !h.closed[before] {
-				t.Fatal("link to the process before stays open")
+				t.Fatal("link to the previous process stays open")
 			}
 			h.receiveLines(after, down(2, 16, ""))
 			h.expectLines(p, "down 2 16")
@@ -74,7 +74,7 @@
 }
 
 // TestCallsEndWhenNoLinkAnswersAfterRestart guards against calls left standing: no link answers after a new start time,
-// so that all of them belong to the process before.
+// so that all of them belong to the previous process.
 func TestCallsEndWhenNoLinkAnswersAfterRestart(t *testing.T) {
 	h := newConnectedHarness(t)
 	p := newStandingCall(h)
@@ -191,7 +191,7 @@
 	}
 }
 
-// TestProcessCheckEndsOnceAllLinksAreDecided checks that calls of the process before are released at once when each link
+// TestProcessCheckEndsOnceAllLinksAreDecided checks that calls of the previous process are released at once when each link
 // has answered or has closed, and not only after the longest response time.
 func TestProcessCheckEndsOnceAllLinksAreDecided(t *testing.T) {
 	h, p, before, after := newCallsAcrossRestart(t, false)
@@ -297,7 +297,7 @@
 // TestSetUpWaitsForLinkToPresentProcess checks that no set-up is sent on a link that may be to a process that has ended
 // while another link is opened, and that one is sent on it as soon as the present process has answered there.
 func TestSetUpWaitsForLinkToPresentProcess(t *testing.T) {
-	for name, answers := range map[string]bool{"link to the process before": false, "link to the present process": true} {
+	for name, answers := range map[string]bool{"link to the previous process": false, "link to the present process": true} {
 		t.Run(name, func(t *testing.T) {
 			h := newConnectedHarness(t)
 			p, handedOver := newStandingCall(h), h.switchConns[1]
@@ -316,7 +316,7 @@
 			h.advance(maxResponseDelay)
 			h.expectLines(p, "down 1 41")
 			if m := h.takeLines(handedOver); len(m) != 1 || m[0].Type != jsonl.TypeHeartbeat {
-				t.Fatalf("link to the process before got %+v, want one heartbeat", m)
+				t.Fatalf("link to the previous process got %+v, want one heartbeat", m)
 			}
 		})
 	}
--- a/internal/platform/return_test.go
+++ b/internal/platform/return_test.go
@@ -37,7 +37,7 @@
 }
 
 // TestCallsEndIfAnotherProcessReturns guards against calls left standing: a new process comes up at the address of a
-// vanished machine before its calls are over, and counts as the process of before while the list says nothing.
+// vanished machine before its calls are over, and counts as the previous process while the list says nothing.
 func TestCallsEndIfAnotherProcessReturns(t *testing.T) {
 	v := newReturnedSwitch(t)
 	v.runFor(10 * time.Second)
@@ -67,15 +67,15 @@
 }
 
 // TestCallsStandIfSameProcessReturns guards against calls cut at a process that runs: a machine that was cut off returns,
-// and its process sends on the link of before.
+// and its process sends on the earlier link.
 func TestCallsStandIfSameProcessReturns(t *testing.T) {
 	v := newReturnedSwitch(t)
-	v.runFor(2 * time.Second) // the link of before is half-open until the machine has noticed the end of the cut
+	v.runFor(2 * time.Second) // the earlier link is half-open until the machine has noticed the end of the cut
 	if v.closed[v.before] {
-		t.Fatal("link of before is closed")
+		t.Fatal("earlier link is closed")
 	}
 	if v.answerHeartbeats(v.before) == 0 {
-		t.Fatal("no heartbeat on the link of before")
+		t.Fatal("no heartbeat on the earlier link")
 	}
 	v.runFor(10 * time.Second)
 	v.expectLines(v.caller)
--- a/internal/platform/standing.go
+++ b/internal/platform/standing.go
@@ -105,7 +105,7 @@
 		c.sendReleaseToCaller(p, ref, cause)
 		return
 	}
-	if to == nil || !to.holdsCallsOfBefore() {
+	if to == nil || !to.mayHoldEarlierCalls() {
 		c.sendReleaseToCaller(p, ref, jsonl.CauseTemporaryFailure)
 		return
 	}
--- a/internal/platform/standing_world_test.go
+++ b/internal/platform/standing_world_test.go
@@ -291,7 +291,7 @@
 	p.conns = nil
 }
 
-// start brings a new process to a site, under the ID of before or a new one, and lets the list tell of it later.
+// start brings a new process to a site, under its former ID or a new one, and lets the list tell of it later.
 func (w *standingWorld) start(site *worldSite, newID bool, listDelay time.Duration, order listOrder) {
 	if site.process != nil {
 		return
--- a/internal/platform/switches.go
+++ b/internal/platform/switches.go
@@ -20,7 +20,7 @@
 	phase            decide.Phase
 	started          int64
 	replaced         bool    // a switch with another ID has taken over its address
-	processChanged   bool    // the list says that the process of before has ended; cleared by handleListChange
+	processChanged   bool    // the list says that the previous process has ended; cleared by handleListChange
 	links            []*link // established links
 	dialling         ConnID  // 0 if no dial is in progress
 	retryScheduled   bool    // maintainLinks is due after the retry delay
