Runtime: what the proxy's loop reads and writes in files of their own; one list scanner

Change, behaviour unchanged: proxyinput.go and proxyoutput.go hold what a pass reads and how outputs are executed; objects and arrays share one function. A switch is looked up by address only where it was replaced, and without sorting all of them.

Measured: tests of jsonl, platform, runtime and cmd/pipitring pass; 15 s of FuzzParse against encoding/json without a difference.

--- a/internal/jsonl/scan.go
+++ b/internal/jsonl/scan.go
@@ -74,11 +74,7 @@
 
 // object consumes an object and calls member, unless it is nil, for each of its members.
 func (s *scanner) object(member func(name, value []byte)) bool {
-	if !s.take('{') {
-		return false
-	}
-	s.skipSpace()
-	for more := !s.take('}'); more; {
+	return s.list('{', '}', func() bool {
 		nameAt := s.at
 		if !s.quoted() {
 			return false
@@ -96,34 +92,30 @@
 		if member != nil {
 			member(unquoteName(name), s.text[valueAt:s.at])
 		}
-		s.skipSpace()
-		if more = s.take(','); more {
-			s.skipSpace()
-		} else if !s.take('}') {
-			return false
-		}
-	}
-	return true
+		return true
+	})
 }
 
 // array consumes an array.
-func (s *scanner) array() bool {
-	if !s.take('[') {
+func (s *scanner) array() bool { return s.list('[', ']', s.value) }
+
+// list consumes an opening byte, elements with commas between them, and a closing byte.
+func (s *scanner) list(first, last byte, element func() bool) bool {
+	if !s.take(first) {
 		return false
 	}
 	s.skipSpace()
-	for more := !s.take(']'); more; {
-		if !s.value() {
-			return false
-		}
+	if s.take(last) {
+		return true
+	}
+	for element() {
 		s.skipSpace()
-		if more = s.take(','); more {
-			s.skipSpace()
-		} else if !s.take(']') {
-			return false
+		if !s.take(',') {
+			return s.take(last)
 		}
+		s.skipSpace()
 	}
-	return true
+	return false
 }
 
 // quoted consumes a string.
--- a/internal/platform/process.go
+++ b/internal/platform/process.go
@@ -66,8 +66,12 @@
 
 // handOver gives the links and standing calls of a replaced switch to the switch that has its address now. A link that was
 // established before the list told of the replacement may be to the process of either, and so may the calls on it: a
-// process check decides. Another link is opened meanwhile, as set-ups wait for one to a known process.
+// process check decides. Another link is opened meanwhile, as set-ups wait for one to a known process. Without an owner
+// nothing is done.
 func (s *switchPeer) handOver(owner *switchPeer) {
+	if owner == nil {
+		return
+	}
 	if s.dialling != 0 && owner.dialling == 0 {
 		s.core.links[s.dialling].peer = owner
 		owner.dialling, owner.dialledAt, s.dialling = s.dialling, s.dialledAt, 0
--- a/internal/platform/switches.go
+++ b/internal/platform/switches.go
@@ -96,8 +96,8 @@
 		s.processEndToldAt = s.core.now // still 0 for the list at the start
 		s.cutCalls(s.core.adoptedCallsAt(s), "was restarted, removed or replaced according to the list, and they were set up before")
 	}
-	if owner := s.core.switchAt(s.addr); s.replaced && owner != nil {
-		s.handOver(owner)
+	if s.replaced {
+		s.handOver(s.core.switchAt(s.addr))
 	}
 	switch {
 	case len(s.links) == 0 && (s.phase == decide.Removed || s.replaced || s.processChanged):
@@ -110,9 +110,9 @@
 	s.core.removeIfIdle(s)
 }
 
-// switchAt returns the switch that has an address according to the list; nil if there is none.
+// switchAt returns the switch that has an address according to the list, where no other can have it; nil if there is none.
 func (c *Core) switchAt(addr netip.AddrPort) *switchPeer {
-	for _, s := range c.switchesByID() {
+	for _, s := range c.switches {
 		if s.addr == addr && s.phase != decide.Removed && !s.replaced {
 			return s
 		}
--- a/internal/runtime/platform.go
+++ b/internal/runtime/platform.go
@@ -16,7 +16,6 @@
 
 	"github.com/panjf2000/gnet/v2"
 	"go.uber.org/zap"
-	"golang.org/x/sys/unix"
 
 	"pipitring/internal/platform"
 )
@@ -233,64 +232,6 @@
 	return nil, gnet.None
 }
 
-// OnTraffic handles bytes received on a connection.
-func (p *Platform) OnTraffic(c gnet.Conn) gnet.Action {
-	e := c.Context().(*proxyConn)
-	b, _ := c.Next(-1) // -1 takes all buffered bytes, which cannot fail
-	if e.closedByCore {
-		if e.discarded += len(b); e.discarded > maxLingerBytes {
-			return gnet.Close
-		}
-		return gnet.None
-	}
-	if e.eof { // the loop reads the rest of the stream in this pass
-		p.traceEvent(e.id, "<", b)
-		p.core.ReceiveAfterClose(e.id, e.input)
-		p.core.ReceiveAfterClose(e.id, b)
-		e.input = e.input[:0]
-		return gnet.None
-	}
-	before := len(e.input)
-	if before == 0 {
-		p.queueInput(e.id, platform.InputData)
-		p.unreadConns[e.id] = e
-	}
-	e.input = append(e.input, b...)
-	p.readFurther(e, c.Fd())
-	p.traceEvent(e.id, "<", e.input[before:])
-	return gnet.None
-}
-
-// readFurther reads what a peer sent after the bytes already read. From callers no more is read once they have sent
-// maxPassBytes in this pass, so that the time and the memory that a pass takes hardly grow with their number.
-func (p *Platform) readFurther(e *proxyConn, fd int) {
-	if !e.caller {
-		p.readRemaining(e, fd)
-		return
-	}
-	e.eof = p.callerBytes < maxPassBytes && p.readRemaining(e, fd) || hasClosed(fd)
-	e.congested = e.congested || unreadBytes(fd) > maxUnreadBytes
-	p.callerBytes += len(e.input)
-}
-
-// readRemaining reads the bytes that a peer sent after those already read, up to maxConnBytes, and reports whether the
-// end of its stream was reached. The loop detects the end again and then closes the connection.
-func (p *Platform) readRemaining(e *proxyConn, fd int) (eof bool) {
-	for len(e.input) < maxConnBytes {
-		n, err := unix.Read(fd, p.readBuffer)
-		switch {
-		case err == unix.EINTR:
-		case err == unix.EAGAIN:
-			return false
-		case err != nil || n <= 0:
-			return true
-		default:
-			e.input = append(e.input, p.readBuffer[:n]...)
-		}
-	}
-	return false
-}
-
 // OnClose handles the end of a connection.
 func (p *Platform) OnClose(c gnet.Conn, _ error) gnet.Action {
 	e := c.Context().(*proxyConn)
@@ -321,120 +262,6 @@
 	_ = p.loop.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error { f(); return nil }))
 }
 
-// queueInput queues a connection's event for the next batch.
-func (p *Platform) queueInput(id platform.ConnID, kind platform.InputKind) {
-	p.inputs = append(p.inputs, platform.Input{Conn: id, Kind: kind})
-	p.scheduleBatch()
-}
-
-// scheduleBatch queues processBatch for the loop unless it is queued already.
-func (p *Platform) scheduleBatch() {
-	if !p.batchScheduled {
-		p.batchScheduled = true
-		p.runOnLoop(func() { p.batchScheduled = false; p.processBatch() })
-	}
-}
-
-// processBatch passes the queued events to the core, applies its outputs and sets the timer.
-func (p *Platform) processBatch() {
-	inputs := p.inputs
-	p.inputs, p.callerBytes = nil, 0
-	for i, input := range inputs {
-		if input.Kind == platform.InputData {
-			e := p.unreadConns[input.Conn]
-			inputs[i].Bytes, inputs[i].EOF, inputs[i].Congested = e.input, e.eof, e.congested
-			e.input, e.congested = nil, false
-		}
-	}
-	clear(p.unreadConns)
-	now := p.now()
-	p.core.ProcessBatch(now, inputs)
-	p.applyOutputs(now)
-}
-
-// applyOutputs executes the core's outputs and sets the timer to the core's next wake-up.
-func (p *Platform) applyOutputs(now time.Duration) {
-	for outputs := p.core.Outputs(); len(outputs) > 0; outputs = p.core.Outputs() {
-		for _, o := range outputs {
-			p.applyOutput(o)
-		}
-	}
-	at, ok := p.core.NextWakeUp()
-	p.wake.schedule(now, at, ok)
-}
-
-func (p *Platform) applyOutput(o platform.Output) {
-	switch o := o.(type) {
-	case platform.Write:
-		c := p.conns[o.Conn]
-		if c == nil || c.Context().(*proxyConn).overLimit {
-			return
-		}
-		p.traceEvent(o.Conn, ">", o.Bytes)
-		if _, err := c.Write(o.Bytes); err == nil {
-			p.limitOutbound(c, len(o.Bytes))
-		}
-	case platform.Close:
-		p.close(o)
-	case platform.Dial:
-		p.traceEvent(o.Conn, "dial", []byte(o.To.String()))
-		p.handovers.Go(func() { p.dial(o) })
-	case platform.LogLine:
-		p.log.Info(o.Text)
-	case platform.Exit:
-		p.log.Info("shutdown complete: no calls left")
-		p.exiting.Store(true)
-		p.stopWhenFlushed(p.now() + flushTimeout)
-	}
-}
-
-// stopWhenFlushed stops the proxy once all buffered bytes are written, at the deadline at the latest: a slow reader may
-// not have received its answers yet.
-func (p *Platform) stopWhenFlushed(deadline time.Duration) {
-	pending := false
-	for _, c := range p.conns {
-		pending = pending || c.OutboundBuffered() > 0
-	}
-	if pending && p.now() < deadline {
-		time.AfterFunc(flushPollInterval, func() { p.runOnLoop(func() { p.stopWhenFlushed(deadline) }) })
-		return
-	}
-	go func() { _ = p.Stop() }()
-}
-
-func (p *Platform) close(o platform.Close) {
-	c := p.conns[o.Conn]
-	if c == nil {
-		return
-	}
-	p.traceEvent(o.Conn, "close", nil)
-	delete(p.conns, o.Conn)
-	e := c.Context().(*proxyConn)
-	e.closedByCore = true
-	if !o.Graceful || p.lingering >= maxLingering {
-		_ = c.Close()
-		return
-	}
-	e.graceful = true
-	p.lingering++
-	p.closeGracefully(c, e, p.now()+flushTimeout)
-}
-
-// closeGracefully shuts down the sending side once the buffered bytes are written, and closes the connection after
-// lingerTime. Until then input is read and discarded, because a close with unread bytes would reset the connection and
-// lose bytes that the peer has not received yet.
-func (p *Platform) closeGracefully(c gnet.Conn, e *proxyConn, deadline time.Duration) {
-	switch {
-	case e.closedByLoop: // closed already; its descriptor may belong to another connection by now
-	case c.OutboundBuffered() > 0 && p.now() < deadline:
-		time.AfterFunc(flushPollInterval, func() { p.runOnLoop(func() { p.closeGracefully(c, e, deadline) }) })
-	case c.OutboundBuffered() > 0 || unix.Shutdown(c.Fd(), unix.SHUT_WR) != nil:
-		_ = c.Close()
-	default:
-		time.AfterFunc(lingerTime, func() { p.runOnLoop(func() { _ = c.Close() }) })
-	}
-}
-
 // dial establishes a connection outside the event loop and registers it with the loop, or reports to the core why not.
 func (p *Platform) dial(o platform.Dial) {
 	d := net.Dialer{Timeout: o.Timeout, KeepAlive: -1}
