Platform: a call whose release was sent is not adopted when it is named again

A caller that names several calls in one write, whose releases are pending, got the releases with the first name; the other calls were adopted, and released once more up to 10 minutes later. A release that crossed its caller's close was lost, and the call stood for 10 minutes when it was named on the next connection.

Cause: with its release written a call was forgotten, so that its name looked like that of a call from before the proxy's start.

Change: where a release was sent is remembered for a minute, 4,096 at most. A call named after that is not adopted: on the same connection the release is under way, on another one it is sent again.

--- a/internal/platform/core.go
+++ b/internal/platform/core.go
@@ -89,8 +89,13 @@
 	// withdrawnRefLifetime is how long a call that was sent to a switch and then withdrawn is not sent again under its
 	// reference: the switch may have run it.
 	withdrawnRefLifetime = time.Minute
-	maxWithdrawnRefs     = 4096                   // references remembered for that
-	maintenanceInterval  = 250 * time.Millisecond // interval of the periodic maintenance
+	maxWithdrawnRefs     = 4096 // references remembered for that
+
+	// sentReleaseLifetime is how long it is remembered where a release was sent: its caller may have left at that moment,
+	// and name the call on its next connection.
+	sentReleaseLifetime = time.Minute
+	maxSentReleases     = 4096                   // releases remembered for that
+	maintenanceInterval = 250 * time.Millisecond // interval of the periodic maintenance
 )
 
 // Stats counts what a proxy has done.
@@ -168,6 +173,7 @@
 
 	callers         map[ConnID]*caller
 	pendingReleases []pendingRelease // in the order in which their calls ended
+	sentReleases    *recentEntries[string, sentRelease]
 	classes         map[string]int
 	quotedClasses   [][]byte // class names as JSON strings
 
@@ -197,6 +203,7 @@
 		switches: map[decide.ExchangeID]*switchPeer{}, links: map[ConnID]*link{},
 		departedSwitches: newRecentEntries[decide.ExchangeID, time.Duration](adoptedCallLifetime, maxDepartedSwitches),
 		earlyReleases:    newRecentEntries[earlyRelease, int](adoptedCallLifetime, maxEarlyReleases),
+		sentReleases:     newRecentEntries[string, sentRelease](sentReleaseLifetime, maxSentReleases),
 		withdrawn:        newRecentEntries[string, struct{}](withdrawnRefLifetime, maxWithdrawnRefs)}
 	for i, name := range cfg.Setup.ClassNames {
 		c.classes[name] = i
@@ -414,6 +421,7 @@
 	}
 	c.departedSwitches.expire(c.now)
 	c.earlyReleases.expire(c.now)
+	c.sentReleases.expire(c.now)
 	c.withdrawn.expire(c.now)
 	c.discovery.checkIdle()
 	if c.stoppingSince != 0 && !c.exited && c.now-c.stoppingSince > minShutdownTime && len(c.calls) == 0 && !c.hasFreshRelease() {
--- a/internal/platform/releases.go
+++ b/internal/platform/releases.go
@@ -28,6 +28,12 @@
 	storedAt time.Duration
 }
 
+// sentRelease is a release that was sent to a caller's connection.
+type sentRelease struct {
+	to    ConnID
+	cause int
+}
+
 // sendReleaseToCaller sends the release of a call that stood to the caller's connection to. If that is closed,
 // releaseRecipient's is used; if there is none, the release is stored for the next connection on which a caller sends a
 // request.
@@ -37,6 +43,7 @@
 	}
 	if to != nil {
 		c.Stats.ReleasesForwarded++
+		c.sentReleases.add(ref, sentRelease{to.id, cause}, c.now)
 		to.sendDown(ref, cause, 0)
 		return
 	}
@@ -101,6 +108,9 @@
 		return
 	}
 	c.Stats.ReleasesDelivered += uint64(n)
+	for _, r := range c.pendingReleases[:n] {
+		c.sentReleases.add(r.ref, sentRelease{to.id, r.cause}, c.now)
+	}
 	c.write(to.id, func(b []byte) []byte {
 		for _, r := range c.pendingReleases[:n] {
 			b = jsonl.AppendDown(b, r.ref, r.cause, 0)
--- a/internal/platform/releases_test.go
+++ b/internal/platform/releases_test.go
@@ -208,3 +208,32 @@
 	}
 	h.expectIdle()
 }
+
+// TestCallsNamedTogetherAfterTheirEnd guards against a second release: of calls that are named in one write, the first
+// brings all pending releases, and the others were adopted then.
+func TestCallsNamedTogetherAfterTheirEnd(t *testing.T) {
+	h := newConnectedHarness(t)
+	p := newStandingCall(h)
+	h.receiveLines(p, setUp(2, 1, ""))
+	h.receiveLines(h.switchConns[1], up(2))
+	h.Closed(h.clock, p)
+	h.receiveLines(h.switchConns[1], down(1, 16, ""), down(2, 16, ""))
+	q := h.accept()
+	h.receiveLines(q, setUp(1, 1, ";at:s-00000001"), setUp(2, 1, ";at:s-00000001"))
+	h.expectLines(q, "down 1 16", "down 2 16")
+	h.expectIdle()
+}
+
+// TestReleaseSentAgainWhereCallIsNamed guards against calls left standing: a release crosses its caller's close, and the
+// caller names the call on its next connection, where it was adopted.
+func TestReleaseSentAgainWhereCallIsNamed(t *testing.T) {
+	h := newConnectedHarness(t)
+	p := newStandingCall(h)
+	h.receiveLines(h.switchConns[1], down(1, 16, ""))
+	h.expectLines(p, "down 1 16")
+	h.Closed(h.clock, p)
+	q := h.accept()
+	h.receiveLines(q, setUp(1, 1, ";at:s-00000001"))
+	h.expectLines(q, "down 1 16")
+	h.expectIdle()
+}
--- a/internal/platform/standing.go
+++ b/internal/platform/standing.go
@@ -97,6 +97,12 @@
 // adoptCall takes over a call that stood before this process started. If the call is known to be over, or the
 // process of its switch has ended, the caller gets its release at once; also if too many calls are adopted.
 func (c *Core) adoptCall(p *caller, ref string, o callOffer) {
+	if sent, known := c.sentReleases.get(ref); known {
+		if sent.to != p.id { // its caller may have left before it came
+			c.sendReleaseToCaller(p, ref, sent.cause)
+		}
+		return
+	}
 	c.Stats.Adopted++
 	to := c.switches[o.standingAt]
 	early := earlyRelease{ref, o.standingAt}
