Platform: a release of an unknown call is kept by the switch's address

After a replacement a release may come on a link that was opened for the switch that had the address before, and the call be named as standing at the new one: the release was not found, and the call stood for 10 minutes.

Cause: releases of unknown calls were kept by the id of their link's switch. Change: they are kept by its address, which a caller's id leads to as well.

Evidence: TestEarlyReleaseUnderFormerID fails on the code before.

--- a/internal/platform/core.go
+++ b/internal/platform/core.go
@@ -190,10 +190,11 @@
 	exited           bool
 }
 
-// earlyRelease identifies the release of an unknown call, stored in case a caller asks to adopt the call later.
+// earlyRelease identifies the release of an unknown call, stored in case a caller asks to adopt the call later. It has the
+// switch's address, as the list may not have told the switch's ID yet.
 type earlyRelease struct {
 	ref  string
-	from decide.ExchangeID
+	from netip.AddrPort
 }
 
 // New returns a proxy at time 0, which corresponds to the wall-clock time wall.
--- a/internal/platform/links.go
+++ b/internal/platform/links.go
@@ -214,7 +214,7 @@
 		case k != nil && k.standing && k.standingAt == s:
 			c.releaseFromSwitch(k, m.Cause, report)
 		case k == nil:
-			c.earlyReleases.add(earlyRelease{m.Ref, s.id}, m.Cause, c.now)
+			c.earlyReleases.add(earlyRelease{m.Ref, l.addr}, m.Cause, c.now)
 		}
 	case jsonl.TypeHeartbeatOK:
 		l.heartbeatAnsweredAt = c.now
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -671,6 +671,17 @@
 	h.expectLines(p, "down 3 16")
 }
 
+// TestEarlyReleaseUnderFormerID guards against calls left standing: a release comes on a link that was opened for the
+// switch that had the address before, and the call is named as standing at the one that has it now.
+func TestEarlyReleaseUnderFormerID(t *testing.T) {
+	h := newConnectedHarness(t)
+	h.receiveLines(h.switchConns[1], down(3, 16, ""))
+	h.replaceSwitch()
+	p := h.accept()
+	h.receiveLines(p, setUp(3, 1, ";at:s-00000005"))
+	h.expectLines(p, "down 3 16")
+}
+
 // TestAdoptedCallsAreBounded guards against memory that grows without end: a caller may name any number of calls that no
 // switch knows, each of which was kept for adoptedCallLifetime.
 func TestAdoptedCallsAreBounded(t *testing.T) {
--- a/internal/platform/standing.go
+++ b/internal/platform/standing.go
@@ -105,16 +105,16 @@
 	}
 	c.Stats.Adopted++
 	to := c.switches[o.standingAt]
-	early := earlyRelease{ref, o.standingAt}
+	if to == nil || !to.mayHoldEarlierCalls() {
+		c.sendReleaseToCaller(p, ref, jsonl.CauseTemporaryFailure)
+		return
+	}
+	early := earlyRelease{ref, to.addr}
 	if cause, known := c.earlyReleases.get(early); known {
 		c.earlyReleases.remove(early)
 		c.sendReleaseToCaller(p, ref, cause)
 		return
 	}
-	if to == nil || !to.mayHoldEarlierCalls() {
-		c.sendReleaseToCaller(p, ref, jsonl.CauseTemporaryFailure)
-		return
-	}
 	if c.adopted >= c.cfg.maxAdoptedCalls() {
 		c.Stats.AdoptionsDenied++
 		c.sendReleaseToCaller(p, ref, jsonl.CauseTemporaryFailure)
--- a/internal/platform/standing_world_test.go
+++ b/internal/platform/standing_world_test.go
@@ -20,15 +20,19 @@
 // coordinator that tells of them later, and a caller. It keeps the truth of each call that stands.
 type standingWorld struct {
 	*harness
-	t         *rapid.T
-	events    []worldEvent
-	sites     []*worldSite
-	conns     map[ConnID]*worldConn
-	calls     map[string]*worldCall
-	caller    ConnID
-	lastRef   int
-	lastID    uint32
-	listIndex uint64
+	t          *rapid.T
+	events     []worldEvent
+	sites      []*worldSite
+	conns      map[ConnID]*worldConn
+	calls      map[string]*worldCall
+	caller     ConnID // 0 while it is away
+	lastRef    int
+	lastID     uint32
+	listIndex  uint64
+	listEvents []coordinator.Event          // since the first proxy's start
+	told       map[uint32]coordinator.Entry // the list as told so far
+	proxies    int                          // processes of the proxy so far
+	ended      time.Duration                // for how long the proxies before the present one ran
 }
 
 type worldEvent struct {
@@ -48,6 +52,8 @@
 // worldProcess is a process of a switch.
 type worldProcess struct {
 	site      *worldSite
+	id        uint32
+	started   int64        // in Unix milliseconds; 0 if it was there before the proxy
 	conns     []*worldConn // open ones, oldest first
 	unnoticed []string     // releases to send on the next connection that is opened
 }
@@ -67,29 +73,39 @@
 	releaseDue time.Duration // if over
 	released   bool
 	releasedAt time.Duration
+	unknowable bool // a proxy that started later cannot tell that it is over (docs/questions.md)
 }
 
 const (
 	worldLatency = time.Millisecond
 	releaseLimit = time.Second     // from a release that reached the proxy
 	lostLimit    = 8 * time.Second // from an end that no release told
-	// mostListDelay is the longest time, in ms, from a process's start until the list tells: 2.4 s, and the time after which
-	// a silent coordinator is replaced.
-	mostListDelay = 2400 + 1800 + 250
 )
 
 func newStandingWorld(t *rapid.T) *standingWorld {
-	w := &standingWorld{harness: newHarness(t), t: t, conns: map[ConnID]*worldConn{}, calls: map[string]*worldCall{}, lastID: 16, listIndex: 1}
+	w := &standingWorld{harness: newHarness(t), t: t, conns: map[ConnID]*worldConn{}, calls: map[string]*worldCall{}, lastID: 16, listIndex: 1,
+		told: map[uint32]coordinator.Entry{}}
 	for n := range 3 {
 		site := &worldSite{number: n, id: uint32(n)}
-		site.process = &worldProcess{site: site}
+		site.process = &worldProcess{site: site, id: site.id}
 		w.sites = append(w.sites, site)
+		w.told[site.id] = entry(site.id, n, n+1, decide.Ready)
 	}
 	w.caller = w.accept()
 	w.react()
 	return w
 }
 
+// afterAtProxy is after for what ends with the proxy's process.
+func (w *standingWorld) afterAtProxy(d time.Duration, run func()) {
+	proxy := w.proxies
+	w.after(d, func() {
+		if w.proxies == proxy {
+			run()
+		}
+	})
+}
+
 func (w *standingWorld) after(d time.Duration, run func()) {
 	w.events = append(w.events, worldEvent{w.clock + d, run})
 	slices.SortStableFunc(w.events, func(a, b worldEvent) int { return cmp.Compare(a.at, b.at) })
@@ -119,7 +135,7 @@
 func (w *standingWorld) react() {
 	for _, d := range w.takeDials() {
 		if d.To.Port() == 7070 {
-			w.after(worldLatency, func() { w.coordConn = d.Conn; w.Connected(w.clock, d.Conn); w.keepCoordinator(d.Conn) })
+			w.afterAtProxy(worldLatency, func() { w.coordinatorConnected(d.Conn) })
 			continue
 		}
 		w.dialled(d)
@@ -129,6 +145,10 @@
 			c.process.drop(c)
 		}
 	}
+	if w.caller != 0 && w.closed[w.caller] { // as idle
+		w.caller = 0
+		w.afterAtProxy(time.Second, func() { w.comeBack(true, false) })
+	}
 	lines := w.writtenInOrder
 	w.writtenInOrder = nil
 	clear(w.written)
@@ -140,16 +160,26 @@
 		if l.to == w.caller {
 			w.callerReceived(&m)
 		} else if c := w.conns[l.to]; c != nil {
-			w.after(worldLatency, func() { w.processReceived(c, &m, l.line) })
+			w.afterAtProxy(worldLatency, func() { w.processReceived(c, &m, l.line) })
 		}
 	}
 }
 
+// coordinatorConnected sends all events, of which the proxy takes those that it lacks.
+func (w *standingWorld) coordinatorConnected(id ConnID) {
+	w.coordConn = id
+	w.Connected(w.clock, id)
+	for _, e := range w.listEvents {
+		w.Receive(w.clock, id, coordinator.AppendFrame(nil, e))
+	}
+	w.keepCoordinator(id)
+}
+
 // keepCoordinator sends the coordinator's empty frames while the connection is the proxy's.
 func (w *standingWorld) keepCoordinator(id ConnID) {
 	if w.coordConn == id && !w.closed[id] {
 		w.Receive(w.clock, id, coordinator.AppendHeartbeat(nil, w.listIndex))
-		w.after(time.Second, func() { w.keepCoordinator(id) })
+		w.afterAtProxy(time.Second, func() { w.keepCoordinator(id) })
 	}
 }
 
@@ -157,11 +187,11 @@
 	site := w.sites[d.To.Addr().As4()[3]-1]
 	switch {
 	case site.silent:
-		w.after(d.Timeout, func() { w.DialFailed(w.clock, d.Conn, DialTimedOut) })
+		w.afterAtProxy(d.Timeout, func() { w.DialFailed(w.clock, d.Conn, DialTimedOut) })
 	case site.process == nil:
-		w.after(worldLatency, func() { w.DialFailed(w.clock, d.Conn, DialRefused) })
+		w.afterAtProxy(worldLatency, func() { w.DialFailed(w.clock, d.Conn, DialRefused) })
 	default:
-		w.after(worldLatency, func() { w.established(d, site) })
+		w.afterAtProxy(worldLatency, func() { w.established(d, site) })
 	}
 }
 
@@ -214,7 +244,7 @@
 	switch {
 	case p.site.process != p || !slices.Contains(p.conns, c): // it has ended, or the connection has
 	case p.site.silent:
-		w.after(100*ms, func() { w.processReceived(c, m, line) }) // the machine gets it if it returns
+		w.afterAtProxy(100*ms, func() { w.processReceived(c, m, line) }) // the machine gets it if it returns
 	case m.Type == jsonl.TypeHeartbeat:
 		w.send(c, fmt.Sprintf(`{"t":"hb_ok","ref":"%s","f":{},"c":1}`, m.Ref))
 	case m.Type == jsonl.TypeNew:
@@ -250,6 +280,9 @@
 
 // setUp sends a set-up to an exchange.
 func (w *standingWorld) setUp(site *worldSite) {
+	if w.caller == 0 {
+		return
+	}
 	w.lastRef++
 	w.Receive(w.clock, w.caller, []byte(setUp(w.lastRef, site.number, "")+"\n"))
 }
@@ -301,9 +334,9 @@
 		w.lastID++
 		site.id = w.lastID
 	}
-	site.process, site.silent = &worldProcess{site: site}, false
 	started := entry(site.id, site.number, site.number+1, decide.Ready)
 	started.Started = w.wallStart.UnixMilli() + w.clock.Milliseconds()
+	site.process, site.silent = &worldProcess{site: site, id: site.id, started: started.Started}, false
 	gone := entry(old, site.number, site.number+1, decide.Removed)
 	switch {
 	case !newID:
@@ -325,6 +358,34 @@
 	w.after(site.toldAt-w.clock, func() { w.tell(entries...) })
 }
 
+// restartCore starts a new proxy, whose time begins at 0, with the list as told so far.
+func (w *standingWorld) restartCore() {
+	cfg := *w.cfg
+	all := coordinator.Event{Index: w.listIndex, Full: true}
+	for _, id := range slices.Sorted(maps.Keys(w.told)) {
+		if e := w.told[id]; e.Phase != decide.Removed {
+			all.Entries = append(all.Entries, e)
+		}
+	}
+	cfg.KnownEvents, cfg.LastIndex = []coordinator.Event{all}, w.listIndex
+	shift := w.clock
+	for i := range w.events {
+		w.events[i].at -= shift
+	}
+	for _, site := range w.sites {
+		site.toldAt -= shift
+	}
+	for _, k := range w.calls {
+		k.releaseDue -= shift
+		k.releasedAt -= shift
+	}
+	w.ended += shift
+	w.harness = &harness{t: w.t, Core: New(&cfg, w.wallStart.Add(shift)), written: map[ConnID][]string{}, closed: map[ConnID]bool{},
+		switchConns: map[byte]ConnID{}}
+	w.conns = map[ConnID]*worldConn{}
+	w.react()
+}
+
 // listOrder is the order in which the list tells that an ID is gone and a new one is there.
 type listOrder int
 
@@ -336,7 +397,60 @@
 
 func (w *standingWorld) tell(entries ...coordinator.Entry) {
 	w.listIndex++
-	w.updateList(w.listIndex, entries...)
+	w.listEvents = append(w.listEvents, coordinator.Event{Index: w.listIndex, Entries: entries})
+	for _, e := range entries {
+		w.told[e.ID] = e
+	}
+	if w.coordConn != 0 {
+		w.updateList(w.listIndex, entries...)
+	}
+}
+
+// leave ends the caller's connection for a time. Then it makes a call and names its calls, or one of both.
+func (w *standingWorld) leave(away time.Duration, calls, names bool) {
+	if w.caller == 0 {
+		return
+	}
+	w.Closed(w.clock, w.caller)
+	w.caller = 0
+	w.after(away, func() { w.comeBack(calls || !names, names) })
+}
+
+func (w *standingWorld) comeBack(calls, names bool) {
+	w.caller = w.accept()
+	if calls {
+		w.setUp(w.sites[1])
+	}
+	for _, ref := range slices.Sorted(maps.Keys(w.calls)) {
+		k := w.calls[ref]
+		if !k.answered || k.released {
+			continue
+		}
+		k.releaseDue = max(k.releaseDue, w.clock+releaseLimit)
+		if names {
+			w.Receive(w.clock, w.caller, fmt.Appendf(nil, `{"t":"new","ref":"%s","f":{"class":"voice","left":"1500","extras":"at:s-%08x"}}`+"\n", ref, k.process.id))
+		}
+	}
+	w.collectOutputs()
+}
+
+// restartProxy kills the proxy and starts it again at once. The caller comes back later and names its calls.
+func (w *standingWorld) restartProxy(away time.Duration) {
+	if w.caller == 0 {
+		return
+	}
+	w.proxies++
+	for _, site := range w.sites {
+		if site.process != nil {
+			site.process.conns = nil
+		}
+	}
+	for _, k := range w.calls {
+		k.unknowable = k.unknowable || w.told[k.process.id].Started > k.process.started
+	}
+	w.restartCore()
+	w.caller = 0
+	w.after(away, func() { w.comeBack(false, true) })
 }
 
 // resume ends the silence of a machine whose process is still there: what was held back arrives.
@@ -367,18 +481,30 @@
 	}
 }
 
-// worldKinds are the kinds of events to draw from, the likelier ones several times, and the longest silence in ms.
+// worldKinds are the kinds of events to draw from, the likelier ones several times, and the longest times in ms: of a
+// silence, and from a process's start until the list tells.
 type worldKinds struct {
-	events  []string
-	silence int
+	events    []string
+	silence   int
+	listDelay int
 }
 
+const (
+	listDelay            = 2400       // ms; the longest of the deployments
+	coordinatorReplaceMS = 1800 + 250 // until a silent coordinator is replaced
+)
+
 var (
-	allEvents = worldKinds{[]string{"set-up", "set-up", "set-up", "set-up", "release", "release", "reset", "crash", "vanish", "cut off"}, 4900}
+	switchEvents = []string{"set-up", "set-up", "set-up", "set-up", "release", "release", "reset", "crash", "vanish", "cut off", "leave"}
+	oneProxy     = worldKinds{switchEvents, 4900, listDelay + coordinatorReplaceMS}
+	// restarts has no late list: a proxy that starts while a machine is silent has nothing but the list to tell by.
+	restarts = worldKinds{append([]string{"proxy"}, switchEvents...), 4900, listDelay}
 	// cutsAlone has silences after which each switch is heard again before hostLossTimeout, and ends no process.
-	cutsAlone = worldKinds{[]string{"set-up", "set-up", "set-up", "set-up", "release", "release", "cut off"}, 3000}
+	cutsAlone = worldKinds{[]string{"set-up", "set-up", "set-up", "set-up", "release", "release", "cut off"}, 3000, listDelay}
 )
 
+const longestAbsence = 5000 // ms
+
 // draw adds a random event of one of the kinds.
 func (w *standingWorld) draw(t *rapid.T, kinds worldKinds) {
 	what := rapid.SampledFrom(kinds.events).Draw(t, "what")
@@ -390,6 +516,12 @@
 	case "release":
 		call := ref(rapid.IntRange(1, 12).Draw(t, "call"))
 		w.after(at, func() { w.release(call) })
+	case "leave":
+		away, calls, names := drawMS(t, "away", longestAbsence), rapid.Bool().Draw(t, "calls"), rapid.Bool().Draw(t, "names")
+		w.after(at, func() { w.leave(away, calls, names) })
+	case "proxy":
+		away := drawMS(t, "away", longestAbsence)
+		w.after(at, func() { w.restartProxy(away) })
 	case "reset":
 		w.after(at, func() { w.reset(site.process) })
 	case "cut off":
@@ -401,7 +533,7 @@
 			}
 		})
 	default:
-		pause, listDelay := drawMS(t, "pause", kinds.silence), drawMS(t, "list delay", mostListDelay)
+		pause, listDelay := drawMS(t, "pause", kinds.silence), drawMS(t, "list delay", kinds.listDelay)
 		newID, order := rapid.Bool().Draw(t, "new ID"), listOrder(rapid.IntRange(0, 2).Draw(t, "order"))
 		w.after(at, func() {
 			if site.process != nil && !site.silent {
@@ -421,7 +553,7 @@
 	for _, ref := range slices.Sorted(maps.Keys(w.calls)) {
 		k := w.calls[ref]
 		switch {
-		case !k.answered || !k.over || k.released && k.releasedAt <= k.releaseDue+50*ms:
+		case !k.answered || !k.over || k.unknowable || k.released && k.releasedAt <= k.releaseDue+50*ms:
 		case k.released:
 			w.t.Fatalf("call %s was due to be released at %v, and was at %v", strings.TrimLeft(ref, "0"), k.releaseDue, k.releasedAt)
 		default:
@@ -433,7 +565,12 @@
 // TestCallsThatAreOverAreReleased plays random orders of calls, releases, restarts, replacements and silences of switches'
 // processes and of what the list tells of them, and checks that each call that is over is released to its caller in time.
 func TestCallsThatAreOverAreReleased(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) { playStandingWorld(t, allEvents).check() })
+	rapid.Check(t, func(t *rapid.T) { playStandingWorld(t, oneProxy).check() })
+}
+
+// TestNamedCallsThatAreOverAreReleased is the same with restarts of the proxy, after which the caller names its calls.
+func TestNamedCallsThatAreOverAreReleased(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { playStandingWorld(t, restarts).check() })
 }
 
 // TestCallsThatStandAreKept checks that no call is released at a process that was only cut off for a time.
@@ -456,6 +593,8 @@
 	for range rapid.IntRange(1, 30).Draw(t, "events") {
 		w.draw(t, kinds)
 	}
-	w.runUntil(40 * time.Second)
+	for w.ended+w.clock < 40*time.Second {
+		w.runUntil(w.clock + time.Second)
+	}
 	return w
 }
